--- /dev/null
+++ b/cmd/lovagedeck/main.go
@@ -0,0 +1,12 @@
+// Command lovagedeck operates, explains and tries out a query tier.
+package main
+
+import (
+	"os"
+
+	"lovagedeck/pkg/commander"
+)
+
+func main() {
+	os.Exit(commander.Main(os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/lovagedeckd/main.go
@@ -0,0 +1,12 @@
+// Command lovagedeckd runs one instance of the tier.
+package main
+
+import (
+	"os"
+
+	"lovagedeck/pkg/supervisor"
+)
+
+func main() {
+	os.Exit(supervisor.Main(os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/pkg/chooser/doc.go
@@ -0,0 +1,2 @@
+// Package chooser decides which replica of a shard is asked.
+package chooser
--- /dev/null
+++ b/pkg/commander/verb_explain.go
@@ -0,0 +1,91 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"lovagedeck/pkg/operator"
+	"lovagedeck/pkg/printer"
+	"lovagedeck/pkg/tracer"
+)
+
+func verbExplain() *cli.Command {
+	return &cli.Command{
+		Name:        "explain",
+		Usage:       "say in a sentence what held a query up, and show its requests",
+		ArgsUsage:   "QUERY-ID (or --slowest)",
+		Description: "Example:\n  lovagedeck explain entry-1.18d5c0de.42\n  lovagedeck explain --slowest",
+		Flags: append(instanceFlags(),
+			&cli.BoolFlag{Name: "slowest", Usage: "explain the slowest query that any instance keeps"}),
+		Action: runExplain,
+	}
+}
+
+func runExplain(_ context.Context, command *cli.Command) error {
+	format, err := outputFormat(command)
+	if err != nil {
+		return err
+	}
+	id := command.Args().First()
+	if id == "" && !command.Bool("slowest") {
+		return usagef("name a query, or give --slowest")
+	}
+	client, err := operatorClient(command)
+	if err != nil {
+		return err
+	}
+	clients, err := allInstances(client)
+	if err != nil {
+		return err
+	}
+	trace, ok := findTrace(clients, id)
+	if !ok {
+		return errors.Errorf("no instance keeps query %q; the slowest, partial and refused ones and a sample of the others are kept", id)
+	}
+	return printTrace(command, format, trace)
+}
+
+// findTrace asks every instance for a query, or for the slowest one where no identifier is given.
+func findTrace(clients []*operator.Client, id string) (tracer.Trace, bool) {
+	var found tracer.Trace
+	for _, client := range clients {
+		if id != "" {
+			if trace, err := client.Trace(id); err == nil {
+				return trace, true
+			}
+			continue
+		}
+		slowest, err := client.Slowest()
+		if err == nil && len(slowest.Traces) > 0 && slowest.Traces[0].Took > found.Took {
+			found = slowest.Traces[0]
+		}
+	}
+	return found, found.ID != ""
+}
+
+func printTrace(command *cli.Command, format printer.Format, trace tracer.Trace) error {
+	w := command.Root().Writer
+	if format == printer.FormatText {
+		if _, err := fmt.Fprintln(w, tracer.Explain(trace)); err != nil {
+			return err
+		}
+		for _, line := range tracer.Tree(trace) {
+			if _, err := fmt.Fprintln(w, line); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	sheet := printer.NewSheet("kind", "service", "shard", "leaf", "data-centre", "owner", "start", "total", "queue", "connect", "leaf-time", "result")
+	for _, s := range trace.Spans {
+		sheet.Add(s.Kind, s.Service, fmt.Sprint(s.Shard), s.Leaf, s.DataCentre, s.Owner, s.Start.String(), s.Total.String(),
+			s.Queue.String(), s.Connect.String(), s.LeafTime.String(), s.Result)
+	}
+	return printer.Print(w, format, sheet, struct {
+		Explanation string       `json:"explanation"`
+		Trace       tracer.Trace `json:"trace"`
+	}{Explanation: tracer.Explain(trace), Trace: trace})
+}
--- /dev/null
+++ b/pkg/commander/verb_table.go
@@ -0,0 +1,241 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"lovagedeck/pkg/operator"
+	"lovagedeck/pkg/printer"
+	"lovagedeck/pkg/tabulator"
+)
+
+func verbTable() *cli.Command {
+	return &cli.Command{
+		Name:        "table",
+		Usage:       "read and edit the table of weights and limits",
+		Description: "Example:\n  lovagedeck table get > t.csv\n  lovagedeck table put t.csv\n  lovagedeck table set customs-desk-01 ub-a slots=3\n  lovagedeck table history",
+		Commands: []*cli.Command{
+			{
+				Name: "get", Usage: "print the table as comma-separated values", Flags: instanceFlags(),
+				Description: "Example:\n  lovagedeck table get > t.csv", Action: runTableGet,
+			},
+			{
+				Name: "put", Usage: "put the rows of a file that differ from the table", ArgsUsage: "FILE (- for standard input)",
+				Flags:       append(changeFlags(), &cli.BoolFlag{Name: "dry-run", Usage: "show the difference only"}),
+				Description: "Example:\n  lovagedeck table put t.csv", Action: runTablePut,
+			},
+			{
+				Name: "set", Usage: "change cells of one row", ArgsUsage: "SERVICE DATA-CENTRE COLUMN=VALUE...", Flags: changeFlags(),
+				Description: "Example:\n  lovagedeck table set customs-desk-01 ub-a slots=3 weight=50", Action: runTableSet,
+			},
+			{
+				Name: "history", Usage: "print the accepted and refused changes", Flags: instanceFlags(),
+				Description: "Example:\n  lovagedeck table history", Action: runTableHistory,
+			},
+		},
+	}
+}
+
+func runTableGet(_ context.Context, command *cli.Command) error {
+	format, err := outputFormat(command)
+	if err != nil {
+		return err
+	}
+	client, err := operatorClient(command)
+	if err != nil {
+		return err
+	}
+	table, err := client.Table()
+	if err != nil {
+		return err
+	}
+	if format == printer.FormatJSON {
+		return printer.Print(command.Root().Writer, format, nil, table)
+	}
+	return tabulator.WriteSheet(command.Root().Writer, table.Rows)
+}
+
+func runTablePut(_ context.Context, command *cli.Command) error {
+	if command.Args().Len() != 1 {
+		return usagef("name one file, or - for standard input")
+	}
+	rows, err := readRows(command.Args().First())
+	if err != nil {
+		return err
+	}
+	client, err := operatorClient(command)
+	if err != nil {
+		return err
+	}
+	table, err := client.Table()
+	if err != nil {
+		return err
+	}
+	changed := showDifference(command.Root().Writer, table, rows)
+	if len(changed) == 0 {
+		_, err := fmt.Fprintln(command.Root().Writer, "no row differs from the table")
+		return err
+	}
+	if command.Bool("dry-run") {
+		return nil
+	}
+	return putRows(command, client, changed)
+}
+
+func putRows(command *cli.Command, client *operator.Client, rows []tabulator.RowFields) error {
+	return send(command, client, func(id, who string) (operator.Change, error) {
+		return client.ChangeRows(tabulator.ChangeRows{ChangeID: id, Operator: who, Rows: rows})
+	})
+}
+
+func readRows(path string) ([]tabulator.RowFields, error) {
+	var reader io.Reader = os.Stdin
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, usagef("%v", err)
+		}
+		defer func() { _ = file.Close() }()
+		reader = file
+	}
+	rows, faults, err := tabulator.ReadSheet(reader)
+	if err != nil {
+		return nil, err
+	}
+	if len(faults) == 0 {
+		return rows, nil
+	}
+	lines := make([]string, 0, len(faults))
+	for _, fault := range faults {
+		lines = append(lines, "  "+fault.Error())
+	}
+	return nil, errors.Errorf("%d bad cells in %s, nothing was changed:\n%s", len(faults), path, strings.Join(lines, "\n"))
+}
+
+// showDifference prints each changed cell and returns the rows that differ.
+func showDifference(w io.Writer, table operator.Table, rows []tabulator.RowFields) []tabulator.RowFields {
+	present := map[tabulator.Key][]string{}
+	for _, row := range table.Rows {
+		present[tabulator.Key{Service: row.Service, DataCentre: row.DataCentre}] = row.Cells()
+	}
+	var changed []tabulator.RowFields
+	for _, row := range rows {
+		key := tabulator.Key{Service: row.Service, DataCentre: row.DataCentre}
+		cells, old := row.Cells(), present[key]
+		difference := differingCells(cells, old)
+		if len(difference) == 0 {
+			continue
+		}
+		changed = append(changed, row)
+		_, _ = fmt.Fprintf(w, "%s (rests on revision %d): %s\n", key, row.Revision, strings.Join(difference, ", "))
+	}
+	return changed
+}
+
+func differingCells(cells, old []string) []string {
+	columns := tabulator.Columns()
+	if old == nil {
+		return []string{"new row"}
+	}
+	var difference []string
+	for i, column := range columns[:len(columns)-1] {
+		if cells[i] != old[i] {
+			difference = append(difference, fmt.Sprintf("%s %s -> %s", column, old[i], cells[i]))
+		}
+	}
+	return difference
+}
+
+func runTableSet(_ context.Context, command *cli.Command) error {
+	args := command.Args().Slice()
+	if len(args) < 3 {
+		return usagef("name a service, a data centre and at least one COLUMN=VALUE")
+	}
+	client, err := operatorClient(command)
+	if err != nil {
+		return err
+	}
+	table, err := client.Table()
+	if err != nil {
+		return err
+	}
+	row, err := editedRow(table, args)
+	if err != nil {
+		return err
+	}
+	changed := showDifference(command.Root().Writer, table, []tabulator.RowFields{row})
+	if len(changed) == 0 {
+		_, err := fmt.Fprintln(command.Root().Writer, "the row is so already")
+		return err
+	}
+	return putRows(command, client, changed)
+}
+
+// editedRow returns the present row with the given cells replaced.
+func editedRow(table operator.Table, args []string) (tabulator.RowFields, error) {
+	for _, row := range table.Rows {
+		if row.Service != args[0] || row.DataCentre != args[1] {
+			continue
+		}
+		cells := row.Cells()
+		for _, assignment := range args[2:] {
+			if err := assign(cells, assignment); err != nil {
+				return row, err
+			}
+		}
+		return parseCells(cells)
+	}
+	return tabulator.RowFields{}, errors.Errorf("no row %s/%s; add it with `lovagedeck table put`", args[0], args[1])
+}
+
+func assign(cells []string, assignment string) error {
+	column, value, ok := strings.Cut(assignment, "=")
+	if !ok {
+		return usagef("%q is not COLUMN=VALUE", assignment)
+	}
+	for i, name := range tabulator.Columns()[2:9] {
+		if name == column {
+			cells[i+2] = value
+			return nil
+		}
+	}
+	return usagef("no column %q; the columns are %s", column, strings.Join(tabulator.Columns()[2:9], ", "))
+}
+
+func parseCells(cells []string) (tabulator.RowFields, error) {
+	text := strings.Join(tabulator.Columns(), ",") + "\n" + strings.Join(cells, ",") + "\n"
+	rows, faults, err := tabulator.ReadSheet(strings.NewReader(text))
+	if err != nil {
+		return tabulator.RowFields{}, err
+	}
+	if len(faults) > 0 {
+		return tabulator.RowFields{}, faults[0]
+	}
+	return rows[0], nil
+}
+
+func runTableHistory(_ context.Context, command *cli.Command) error {
+	format, err := outputFormat(command)
+	if err != nil {
+		return err
+	}
+	client, err := operatorClient(command)
+	if err != nil {
+		return err
+	}
+	history, err := client.History()
+	if err != nil {
+		return err
+	}
+	sheet := printer.NewSheet("revision", "verdict", "operator", "change-id", "what")
+	for _, entry := range history.Entries {
+		sheet.Add(fmt.Sprint(entry.Revision), string(entry.Verdict), entry.Operator, entry.ChangeID, entry.What)
+	}
+	return printer.Print(command.Root().Writer, format, sheet, history.Entries)
+}
--- /dev/null
+++ b/pkg/commander/verb_timeline.go
@@ -0,0 +1,58 @@
+package commander
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"lovagedeck/pkg/printer"
+	"lovagedeck/pkg/timeliner"
+)
+
+func verbTimeline() *cli.Command {
+	return &cli.Command{
+		Name:        "timeline",
+		Usage:       "print the events of all instances in one order",
+		Description: "Example:\n  lovagedeck timeline --kind leaf-restarted --last 10m",
+		Flags: append(instanceFlags(),
+			&cli.StringFlag{Name: "peer", Usage: "only events with this `PEER`"},
+			&cli.StringFlag{Name: "kind", Usage: "only events of this `KIND`"},
+			&cli.DurationFlag{Name: "last", Usage: "only events of the last `TIME`, such as 10m"}),
+		Action: runTimeline,
+	}
+}
+
+func runTimeline(_ context.Context, command *cli.Command) error {
+	format, err := outputFormat(command)
+	if err != nil {
+		return err
+	}
+	client, err := operatorClient(command)
+	if err != nil {
+		return err
+	}
+	clients, err := allInstances(client)
+	if err != nil {
+		return err
+	}
+	filter := timeliner.Filter{Peer: command.String("peer"), Kind: command.String("kind")}
+	if last := command.Duration("last"); last > 0 {
+		filter.Since = time.Now().Add(-last)
+	}
+	var events []timeliner.Event
+	for _, c := range clients {
+		part, err := c.Events(filter)
+		if err != nil {
+			progress("timeline: the events of %s are missing: %v", c.Address(), err)
+			continue
+		}
+		events = append(events, part.Events...)
+	}
+	timeliner.Sort(events)
+	sheet := printer.NewSheet("time", "instance", "kind", "peer", "text")
+	for _, event := range events {
+		sheet.Add(event.Stamp.Time().UTC().Format("15:04:05.000000"), event.Instance, event.Kind, event.Peer, event.Text)
+	}
+	return printer.Print(command.Root().Writer, format, sheet, events)
+}
--- /dev/null
+++ b/pkg/controller/wire.go
@@ -0,0 +1,126 @@
+// Calls between control instances, and from entry instances to them, are
+// net/rpc calls of the receiver named Control.
+
+package controller
+
+import (
+	"time"
+
+	"lovagedeck/pkg/replicator"
+	"lovagedeck/pkg/tabulator"
+	"lovagedeck/pkg/timeliner"
+)
+
+type (
+	// StepQuery carries messages of the replicated log.
+	StepQuery struct {
+		Messages []replicator.Message
+		Stamp    timeliner.Stamp
+	}
+
+	// ReportQuery tells the leader which revisions the sessions of a control instance act on.
+	ReportQuery struct {
+		From     string
+		Sessions map[uint64]int
+	}
+
+	// RenewQuery asks for a lease until the next renewal.
+	RenewQuery struct {
+		Member tabulator.MemberFields
+		Have   uint64
+		Stamp  timeliner.Stamp
+	}
+
+	// RenewReply grants a lease and brings the view up to date.
+	RenewReply struct {
+		Granted bool
+		Reason  string
+		Delta   tabulator.Delta
+		Stamp   timeliner.Stamp
+	}
+
+	// ProposeQuery asks for a command to be put into the log.
+	ProposeQuery struct {
+		Command   []byte
+		Forwarded bool
+	}
+
+	// ProposeReply is the outcome of a command; Unknown means that it may still be accepted.
+	ProposeReply struct {
+		Result  tabulator.Result
+		Unknown bool
+		Refused string
+	}
+
+	// LookupQuery asks for the outcome of an earlier change.
+	LookupQuery struct {
+		ChangeID string
+	}
+
+	// LookupReply is the recorded outcome of a change, if there is one.
+	LookupReply struct {
+		Known  bool
+		Fresh  bool
+		Result tabulator.Result
+	}
+
+	// InForceQuery asks how many entry instances act on a revision.
+	InForceQuery struct {
+		Revision  uint64
+		Forwarded bool
+	}
+
+	// InForceReply counts the entry instances that act on a revision; Everywhere also holds once every older lease has run out.
+	InForceReply struct {
+		Acting     int
+		Members    int
+		Everywhere bool
+		After      time.Duration
+		Refused    string
+	}
+
+	// HistoryQuery asks for the accepted and refused changes.
+	HistoryQuery struct{}
+
+	// HistoryReply has the changes, oldest first.
+	HistoryReply struct {
+		Fresh   bool
+		Entries []tabulator.HistoryEntry
+	}
+
+	// StatusQuery asks for the state of a control instance.
+	StatusQuery struct{}
+
+	// StatusReply is the state of a control instance.
+	StatusReply struct {
+		Status   replicator.Status
+		Revision uint64
+		Sessions int
+		Failed   string
+	}
+
+	// ConfigQuery changes the control members by one.
+	ConfigQuery struct {
+		Action    ConfigAction
+		Node      replicator.NodeID
+		Forwarded bool
+	}
+
+	// ConfigReply is the outcome of a change of the control members.
+	ConfigReply struct {
+		Refused string
+		Unknown bool
+	}
+
+	// ConfigAction is a change of the control members.
+	ConfigAction string
+)
+
+const (
+	// ActionAddLearner adds a node that follows without a vote.
+	ActionAddLearner ConfigAction = "add-learner"
+	// ActionPromote gives a learner its vote.
+	ActionPromote ConfigAction = "promote"
+	// ActionRemove removes a node.
+	ActionRemove ConfigAction = "remove"
+)
--- /dev/null
+++ b/pkg/dispatcher/dispatcher.go
@@ -0,0 +1,566 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"lovagedeck/pkg/assigner"
+	"lovagedeck/pkg/chooser"
+	"lovagedeck/pkg/coordinator"
+	"lovagedeck/pkg/fellow"
+	"lovagedeck/pkg/hedger"
+	"lovagedeck/pkg/tabulator"
+	"lovagedeck/pkg/tracer"
+)
+
+const (
+	hedgeQuantile  = 0.95
+	maxToolSets    = 1024
+	priorityBits   = 32
+	holdingsRounds = 40
+	holdingsPause  = 25 * time.Millisecond
+)
+
+type (
+	// Transport carries asks and cancellations to owners.
+	Transport interface {
+		Ask(owner tabulator.Member, ask fellow.Ask)
+		Cancel(owner tabulator.MemberID, id uint64)
+		FetchHoldings(owner tabulator.Member, leafs []string) (map[string][]fellow.Holding, error)
+	}
+
+	// Config is what a Dispatcher needs of its instance.
+	Config struct {
+		Self      tabulator.MemberID
+		Now       func() time.Duration
+		Wall      func() time.Time
+		LeaseHeld func(now time.Duration) bool
+		Transport Transport
+		Random    *rand.Rand
+		Policy    chooser.Policy
+		NoHedges  bool
+		NoGate    bool
+		LocalOnly bool
+	}
+
+	// Dispatcher runs queries; its state is guarded by one lock, and waiting happens outside it.
+	Dispatcher struct {
+		config     Config
+		traces     *tracer.Store
+		mu         sync.Mutex
+		view       *tabulator.View
+		rows       map[string][]tabulator.Row
+		assignment *assigner.Map
+		catalogue  *coordinator.Catalogue
+		chooser    *chooser.Chooser
+		tools      map[string]*toolSet
+		running    map[uint64]*course
+		sequence   uint64
+		queries    uint64
+		open       int
+		draining   bool
+		counters   counters
+	}
+
+	toolSet struct {
+		budget   *hedger.Budget
+		quantile *hedger.Quantile
+	}
+
+	counters struct {
+		queries  map[coordinator.Outcome]*metrics.Counter
+		first    *metrics.Counter
+		retries  *metrics.Counter
+		hedges   *metrics.Counter
+		strays   *metrics.Counter
+		duration *metrics.Histogram
+	}
+
+	// course is one query under way.
+	course struct {
+		id       string
+		query    *coordinator.Query
+		request  Request
+		priority float64
+		begun    time.Duration
+		owners   map[uint64]tabulator.MemberID
+		timer    *time.Timer
+		done     chan coordinator.Answer
+	}
+)
+
+// New returns a dispatcher that knows no leaf yet.
+func New(config Config, traces *tracer.Store, set *metrics.Set) *Dispatcher {
+	if config.Policy == nil {
+		config.Policy = chooser.Scored{}
+	}
+	return &Dispatcher{
+		config: config, traces: traces, view: tabulator.NewView(), assignment: assigner.NewMap(tabulator.NewView()),
+		catalogue: coordinator.NewCatalogue(), chooser: chooser.New(config.Random, chooser.WithPolicy(config.Policy)),
+		tools: map[string]*toolSet{}, running: map[uint64]*course{}, counters: newCounters(set),
+	}
+}
+
+// OnView takes a new table and membership.
+func (d *Dispatcher) OnView(view *tabulator.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view = view
+	d.assignment = d.assignment.Next(view)
+	d.rows = map[string][]tabulator.Row{}
+	for _, row := range view.Rows() {
+		service := row.Key().Service
+		d.rows[service] = append(d.rows[service], row)
+	}
+}
+
+// OnRoster takes a new roster of leafs.
+func (d *Dispatcher) OnRoster(records []coordinator.LeafRecord) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.catalogue.SetRoster(records)
+}
+
+// Drain refuses new queries; those under way go on.
+func (d *Dispatcher) Drain() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.draining = true
+}
+
+// Open returns how many queries are under way.
+func (d *Dispatcher) Open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open
+}
+
+// Run runs a query and returns its result.
+func (d *Dispatcher) Run(ctx context.Context, request Request) Result {
+	begun := d.config.Now()
+	id := d.nextQueryID()
+	started := d.config.Wall()
+	answer := d.run(ctx, id, request, begun)
+	result := Result{ID: id, Took: d.config.Now() - begun, Answer: answer}
+	if answer.Outcome == coordinator.OutcomeRefused {
+		result.RetryAfter = retryAfter(answer.Reason)
+	}
+	d.finish(result, request, started, begun)
+	return result
+}
+
+// OnReplies takes replies of owners.
+func (d *Dispatcher) OnReplies(_ tabulator.MemberID, replies []fellow.Reply) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, reply := range replies {
+		d.onReply(reply)
+	}
+}
+
+// OnLost takes asks that did not get through to their owner.
+func (d *Dispatcher) OnLost(asks []fellow.Ask, maybeReceived bool, reason string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, ask := range asks {
+		kind := fellow.KindNotRun
+		if maybeReceived {
+			kind = fellow.KindUnknown
+		}
+		d.onReply(fellow.Reply{ID: ask.ID, Leaf: ask.Leaf, Kind: kind, Reason: reason})
+	}
+}
+
+func (d *Dispatcher) run(ctx context.Context, id string, request Request, begun time.Duration) coordinator.Answer {
+	limits, refusal := d.admit(request, begun)
+	if refusal != "" {
+		return coordinator.Refuse(refusal)
+	}
+	defer d.leave()
+	if !d.knowHoldings(ctx, request.Services, limits.Deadline) {
+		return coordinator.Refuse(ReasonNoHoldings)
+	}
+	c, refusal := d.begin(id, request, limits, begun)
+	if refusal != "" {
+		return coordinator.Refuse(refusal)
+	}
+	select {
+	case answer := <-c.done:
+		return answer
+	case <-ctx.Done():
+		return d.abandon(c)
+	}
+}
+
+// admit checks that the query may run here and returns its limits.
+func (d *Dispatcher) admit(request Request, begun time.Duration) (coordinator.Limits, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return coordinator.Limits{}, ReasonShuttingDown
+	}
+	if !d.config.LeaseHeld(begun) {
+		return coordinator.Limits{}, ReasonNotReady
+	}
+	limits, ok := d.limits(request, begun)
+	if !ok {
+		return coordinator.Limits{}, ReasonNoService
+	}
+	d.open++
+	return limits, ""
+}
+
+func (d *Dispatcher) leave() {
+	d.mu.Lock()
+	d.open--
+	d.mu.Unlock()
+}
+
+// limits narrows the rows of the services by the request.
+func (d *Dispatcher) limits(request Request, begun time.Duration) (coordinator.Limits, bool) {
+	limits := coordinator.Limits{Idempotent: request.Idempotent, HedgePercent: -1}
+	deadline := request.Deadline
+	for _, service := range request.Services {
+		rows := d.rows[service]
+		if len(rows) == 0 {
+			return limits, false
+		}
+		for _, row := range rows {
+			if deadline == 0 || row.Deadline() < deadline {
+				deadline = row.Deadline()
+			}
+			limits.MinCoverage = max(limits.MinCoverage, row.MinCoverage())
+			if limits.HedgePercent < 0 || row.HedgePercent() < limits.HedgePercent {
+				limits.HedgePercent = row.HedgePercent()
+			}
+		}
+	}
+	if request.MinCoverage != nil {
+		limits.MinCoverage = max(limits.MinCoverage, *request.MinCoverage)
+	}
+	limits.Deadline = begun + deadline
+	return limits, true
+}
+
+// knowHoldings asks owners for holdings until each service has some or the deadline is near.
+func (d *Dispatcher) knowHoldings(ctx context.Context, services []string, deadline time.Duration) bool {
+	for range holdingsRounds {
+		groups, known := d.missingHoldings(services)
+		if len(groups) == 0 {
+			return known
+		}
+		for owner, leafs := range groups {
+			if holdings, err := d.config.Transport.FetchHoldings(owner, leafs); err == nil {
+				d.learn(holdings)
+			}
+		}
+		if d.anyHoldings(services) {
+			return true
+		}
+		if ctx.Err() != nil || d.config.Now()+holdingsPause >= deadline {
+			return false
+		}
+		time.Sleep(holdingsPause)
+	}
+	return false
+}
+
+// missingHoldings groups the leafs with unknown holdings by owner, where a service has none that is known.
+func (d *Dispatcher) missingHoldings(services []string) (map[tabulator.Member][]string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	groups := map[tabulator.Member][]string{}
+	known := true
+	for _, service := range services {
+		unknown := d.catalogue.Unknown([]string{service})
+		if len(unknown) < len(d.catalogue.LeafsOf(service)) {
+			continue
+		}
+		known = false
+		for _, id := range unknown {
+			record, _ := d.catalogue.Leaf(id)
+			if owner, ok := d.owner(record); ok {
+				groups[owner] = append(groups[owner], string(id))
+			}
+		}
+	}
+	return groups, known
+}
+
+func (d *Dispatcher) anyHoldings(services []string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, service := range services {
+		if len(d.catalogue.Unknown([]string{service})) == len(d.catalogue.LeafsOf(service)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Dispatcher) learn(holdings map[string][]fellow.Holding) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, held := range holdings {
+		d.catalogue.Learn(assigner.LeafID(id), toHoldings(held))
+	}
+}
+
+func (d *Dispatcher) begin(id string, request Request, limits coordinator.Limits, begun time.Duration) (*course, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.config.Now()
+	plan, ok := d.catalogue.Pin(request.Services, d.view)
+	if !ok {
+		return nil, ReasonNoHoldings
+	}
+	priority := priorityOf(id)
+	if !d.config.NoGate && priority < d.threshold(plan, now) {
+		return nil, ReasonOverloaded
+	}
+	tools := d.toolsFor(request.Services)
+	c := &course{
+		id: id, request: request, priority: priority, begun: begun, owners: map[uint64]tabulator.MemberID{},
+		done: make(chan coordinator.Answer, 1),
+	}
+	c.query = coordinator.NewQuery(plan, limits, coordinator.Tools{
+		Chooser: d.chooser, Budget: tools.budget, Quantile: tools.quantile, NoHedges: d.config.NoHedges,
+		NextID: d.nextID, SendLimit: assigner.MaxSubDeadline,
+	})
+	c.timer = time.AfterFunc(time.Hour, func() { d.onTime(c) })
+	d.carryOut(c, c.query.Begin(now))
+	return c, ""
+}
+
+// threshold returns the priority that a query needs so that each shard has a replica that takes it.
+func (d *Dispatcher) threshold(plan coordinator.Plan, now time.Duration) float64 {
+	needed := 0.0
+	for _, shard := range plan.Shards {
+		lowest := 1.0
+		for _, leaf := range shard.Candidates {
+			lowest = min(lowest, d.chooser.Threshold(leaf, now))
+		}
+		if len(shard.Candidates) > 0 {
+			needed = max(needed, lowest)
+		}
+	}
+	return needed
+}
+
+func (d *Dispatcher) onTime(c *course) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.carryOut(c, c.query.OnTime(d.config.Now()))
+}
+
+func (d *Dispatcher) abandon(c *course) coordinator.Answer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.carryOut(c, c.query.Abandon(d.config.Now()))
+	c.timer.Stop()
+	select {
+	case answer := <-c.done:
+		return answer
+	default:
+		return coordinator.Answer{Outcome: coordinator.OutcomeFailed, Reason: ReasonCallerGone}
+	}
+}
+
+// onReply hands a reply to its query; a reply to nothing that is outstanding is counted and dropped.
+func (d *Dispatcher) onReply(reply fellow.Reply) {
+	now := d.config.Now()
+	leaf := assigner.LeafID(reply.Leaf)
+	d.catalogue.Learn(leaf, toHoldings(reply.Holdings))
+	if reply.Condition.Known {
+		d.chooser.OnReport(leaf, toReport(reply.Condition), now)
+	}
+	c := d.running[reply.ID]
+	if c == nil {
+		d.counters.strays.Inc()
+		return
+	}
+	delete(d.running, reply.ID)
+	d.carryOut(c, c.query.OnReply(toReply(reply), now))
+}
+
+func (d *Dispatcher) carryOut(c *course, actions []coordinator.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case coordinator.Ask:
+			d.ask(c, a)
+		case coordinator.Cancel:
+			delete(d.running, a.Attempt)
+			if owner, ok := c.owners[a.Attempt]; ok {
+				d.config.Transport.Cancel(owner, a.Attempt)
+			}
+		case coordinator.StartOver:
+			d.startOver(c)
+			return
+		case coordinator.Finish:
+			c.timer.Stop()
+			c.done <- a.Answer
+			return
+		}
+	}
+	c.timer.Reset(max(0, c.query.Wake()-d.config.Now()))
+}
+
+func (d *Dispatcher) startOver(c *course) {
+	now := d.config.Now()
+	plan, ok := d.catalogue.Pin(c.request.Services, d.view)
+	if !ok || !c.query.Newer(plan) {
+		d.carryOut(c, c.query.GiveUpRestart(now))
+		return
+	}
+	d.carryOut(c, c.query.Restart(plan, now))
+}
+
+func (d *Dispatcher) ask(c *course, a coordinator.Ask) {
+	now := d.config.Now()
+	d.running[a.Attempt] = c
+	record, listed := d.catalogue.Leaf(a.Leaf)
+	owner, ok := d.owner(record)
+	if !listed || !ok {
+		d.refuseLater(a, fellow.ReasonNoOwner)
+		return
+	}
+	c.owners[a.Attempt] = owner.ID()
+	d.config.Transport.Ask(owner, fellow.Ask{
+		ID: a.Attempt, Query: c.id, Leaf: string(a.Leaf), Service: a.Shard.Service, Shard: a.Shard.Number,
+		Index: a.Version.Index, Version: a.Version.Number, RemainingUs: (a.Deadline - now).Microseconds(),
+		Effect: !c.request.Idempotent, Hedge: a.Hedge, Caller: c.request.Caller, Weight: c.request.Weight,
+		Priority: c.priority, Text: c.request.Text,
+	})
+}
+
+// refuseLater answers an ask that has no owner after the present step has ended.
+func (d *Dispatcher) refuseLater(a coordinator.Ask, reason string) {
+	go d.OnReplies(d.config.Self, []fellow.Reply{{ID: a.Attempt, Leaf: string(a.Leaf), Kind: fellow.KindNotRun, Reason: reason}})
+}
+
+func (d *Dispatcher) owner(record coordinator.LeafRecord) (tabulator.Member, bool) {
+	if d.config.LocalOnly {
+		return d.view.Member(d.config.Self.Instance)
+	}
+	return d.assignment.Owner(assigner.NewLeaf(record.ID, record.DataCentre))
+}
+
+func (d *Dispatcher) toolsFor(services []string) *toolSet {
+	key := strings.Join(services, ",")
+	if d.tools[key] == nil && len(d.tools) >= maxToolSets {
+		key = ""
+	}
+	if d.tools[key] == nil {
+		d.tools[key] = &toolSet{budget: hedger.NewBudget(), quantile: hedger.NewQuantile(hedgeQuantile)}
+	}
+	return d.tools[key]
+}
+
+func (d *Dispatcher) nextID() uint64 {
+	d.sequence++
+	return d.sequence
+}
+
+func (d *Dispatcher) nextQueryID() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queries++
+	return fmt.Sprintf("%s.%x.%d", d.config.Self.Instance, d.config.Self.Incarnation, d.queries)
+}
+
+func (d *Dispatcher) finish(result Result, request Request, started time.Time, begun time.Duration) {
+	d.counters.count(result)
+	d.traces.Add(d.trace(result, request, started, begun))
+}
+
+func (d *Dispatcher) trace(result Result, request Request, started time.Time, begun time.Duration) tracer.Trace {
+	answer := result.Answer
+	trace := tracer.Trace{
+		ID: result.ID, Instance: d.config.Self.Instance, Caller: request.Caller, Services: request.Services,
+		Index: answer.Version.Index, Version: answer.Version.Number, Started: started, Took: result.Took,
+		Outcome: string(answer.Outcome), Reason: answer.Reason, Answered: answer.Answered, Total: answer.Total,
+		Restarts: answer.Restarts, Spans: make([]tracer.Span, 0, len(answer.Attempts)),
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, attempt := range answer.Attempts {
+		trace.Spans = append(trace.Spans, d.span(attempt, begun))
+	}
+	return trace
+}
+
+func (d *Dispatcher) span(a coordinator.AttemptRecord, begun time.Duration) tracer.Span {
+	record, _ := d.catalogue.Leaf(a.Leaf)
+	owner, _ := d.owner(record)
+	return tracer.Span{
+		Kind: string(a.Kind), Service: a.Shard.Service, Shard: a.Shard.Number, Leaf: string(a.Leaf),
+		DataCentre: record.DataCentre, Owner: owner.Instance(), Start: a.Sent - begun, Total: max(0, a.Ended-a.Sent),
+		Queue: a.Timing.Queue, Connect: a.Timing.Connect, LeafTime: a.Timing.Leaf, Limit: a.Timing.Limit,
+		Slots: a.Timing.Slots, ClosedFor: a.Timing.ClosedFor, ClosedReason: a.Timing.ClosedReason, Result: a.Result,
+	}
+}
+
+func newCounters(set *metrics.Set) counters {
+	c := counters{
+		queries:  map[coordinator.Outcome]*metrics.Counter{},
+		first:    set.GetOrCreateCounter(`lovagedeck_attempts_total{kind="first"}`),
+		retries:  set.GetOrCreateCounter(`lovagedeck_attempts_total{kind="retry"}`),
+		hedges:   set.GetOrCreateCounter(`lovagedeck_attempts_total{kind="hedge"}`),
+		strays:   set.GetOrCreateCounter("lovagedeck_stray_replies_total"),
+		duration: set.GetOrCreateHistogram("lovagedeck_query_seconds"),
+	}
+	for _, outcome := range []coordinator.Outcome{
+		coordinator.OutcomeComplete, coordinator.OutcomePartial, coordinator.OutcomeRefused, coordinator.OutcomeFailed,
+	} {
+		c.queries[outcome] = set.GetOrCreateCounter(fmt.Sprintf("lovagedeck_queries_total{outcome=%q}", outcome))
+	}
+	return c
+}
+
+func (c counters) count(result Result) {
+	c.queries[result.Answer.Outcome].Inc()
+	c.duration.Update(result.Took.Seconds())
+	for _, attempt := range result.Answer.Attempts {
+		switch attempt.Kind {
+		case coordinator.AttemptRetry:
+			c.retries.Inc()
+		case coordinator.AttemptHedge:
+			c.hedges.Inc()
+		default:
+			c.first.Inc()
+		}
+	}
+}
+
+// priorityOf spreads queries evenly over 0 to 1, the same at every leaf.
+func priorityOf(id string) float64 {
+	return float64(xxhash.Sum64String(id)>>(64-priorityBits)) / (1 << priorityBits)
+}
+
+func retryAfter(reason string) time.Duration {
+	if reason == ReasonNotReady || reason == ReasonShuttingDown {
+		return retryAfterNotReady
+	}
+	return retryAfterOverload
+}
+
+// SortServices returns the services in order without repetition.
+func SortServices(services []string) []string {
+	sorted := append([]string(nil), services...)
+	sort.Strings(sorted)
+	kept := sorted[:0]
+	for i, service := range sorted {
+		if i == 0 || service != sorted[i-1] {
+			kept = append(kept, service)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/pkg/fellow/doc.go
@@ -0,0 +1,2 @@
+// Package fellow carries requests and replies between entry instances, many in one call.
+package fellow
--- /dev/null
+++ b/pkg/journaler/record.go
@@ -0,0 +1,85 @@
+package journaler
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"lovagedeck/pkg/replicator"
+)
+
+// record is one record of the journal, with exactly one field set.
+type record struct {
+	Vote    *replicator.SaveVote    `msgpack:"v,omitempty"`
+	Entries *replicator.SaveEntries `msgpack:"e,omitempty"`
+}
+
+const checksumBytes = 8
+
+func encodeRecord(write replicator.Write) ([]byte, error) {
+	var r record
+	switch w := write.(type) {
+	case replicator.SaveVote:
+		r.Vote = &w
+	case replicator.SaveEntries:
+		r.Entries = &w
+	}
+	data, err := msgpack.Marshal(r)
+	return data, errors.Wrap(err, "encode record")
+}
+
+// replay applies a record to what was read of the journal so far.
+func (r record) replay(tail *replicator.Saved) error {
+	if r.Vote != nil {
+		tail.Term, tail.Vote = r.Vote.Term, r.Vote.Vote
+	}
+	if r.Entries == nil {
+		return nil
+	}
+	for _, entry := range r.Entries.Entries {
+		if err := place(tail, entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func place(tail *replicator.Saved, entry replicator.Entry) error {
+	if len(tail.Entries) == 0 {
+		tail.Entries = append(tail.Entries, entry)
+		return nil
+	}
+	first := tail.Entries[0].Index
+	if entry.Index < first {
+		tail.Entries = append(tail.Entries[:0], entry)
+		return nil
+	}
+	at := entry.Index - first
+	if at > uint64(len(tail.Entries)) {
+		return errors.Errorf("entry %d follows entry %d", entry.Index, first+uint64(len(tail.Entries))-1)
+	}
+	tail.Entries = append(tail.Entries[:at], entry)
+	return nil
+}
+
+func encodeSnapshot(snapshot replicator.Snapshot) ([]byte, error) {
+	data, err := msgpack.Marshal(snapshot)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode snapshot")
+	}
+	return binary.LittleEndian.AppendUint64(data, xxhash.Sum64(data)), nil
+}
+
+func decodeSnapshot(data []byte) (replicator.Snapshot, error) {
+	var snapshot replicator.Snapshot
+	if len(data) < checksumBytes {
+		return snapshot, errors.New("the snapshot is too short")
+	}
+	body := data[:len(data)-checksumBytes]
+	if xxhash.Sum64(body) != binary.LittleEndian.Uint64(data[len(body):]) {
+		return snapshot, errors.New("the checksum of the snapshot is wrong")
+	}
+	return snapshot, errors.Wrap(msgpack.Unmarshal(body, &snapshot), "decode snapshot")
+}
--- /dev/null
+++ b/pkg/layering/doc.go
@@ -0,0 +1,2 @@
+// Package layering holds the test that keeps decisions free of input and output.
+package layering
--- /dev/null
+++ b/pkg/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator is the administration API and its client.
+package operator
--- /dev/null
+++ b/pkg/printer/doc.go
@@ -0,0 +1,2 @@
+// Package printer prints data as text, JSON or comma-separated values.
+package printer
--- /dev/null
+++ b/pkg/runner/doc.go
@@ -0,0 +1,2 @@
+// Package runner puts the parts of one instance together and runs them.
+package runner
--- /dev/null
+++ b/pkg/runner/handler.go
@@ -0,0 +1,120 @@
+package runner
+
+import (
+	"strconv"
+
+	"lovagedeck/pkg/controller"
+	"lovagedeck/pkg/fellow"
+	"lovagedeck/pkg/operator"
+	"lovagedeck/pkg/replicator"
+	"lovagedeck/pkg/tabulator"
+	"lovagedeck/pkg/timeliner"
+	"lovagedeck/pkg/tracer"
+)
+
+// OnAsks takes requests for leafs of this instance.
+func (i *Instance) OnAsks(from tabulator.MemberID, address string, asks []fellow.Ask) {
+	i.owner.OnAsks(from, address, asks)
+}
+
+// OnCancels takes cancellations.
+func (i *Instance) OnCancels(from tabulator.MemberID, ids []uint64) { i.owner.OnCancels(from, ids) }
+
+// OnReplies takes replies to requests of this instance.
+func (i *Instance) OnReplies(from tabulator.MemberID, replies []fellow.Reply) {
+	i.dispatcher.OnReplies(from, replies)
+}
+
+// Holdings tells what the leafs of this instance hold.
+func (i *Instance) Holdings(leafs []string) map[string][]fellow.Holding {
+	return i.owner.Holdings(leafs)
+}
+
+// Release gives up leafs for another owner.
+func (i *Instance) Release(query fellow.ReleaseQuery) []fellow.Released {
+	return i.owner.Release(query)
+}
+
+// RunTicket runs a request whose ticket this incarnation granted.
+func (i *Instance) RunTicket(ticket string, request []byte) ([]byte, error) {
+	return i.callers.RunTicket(ticket, request)
+}
+
+// Status describes this instance and the control instances it reaches.
+func (i *Instance) Status() operator.Status {
+	view := i.View()
+	status := operator.Status{
+		Instance: i.self.Instance, Incarnation: strconv.FormatUint(i.self.Incarnation, 16), DataCentre: i.settings.DataCentre,
+		Ready: i.Ready(), Revision: view.Revision(), Epoch: view.Epoch(), Leafs: i.owner.Held(),
+		Queries: i.dispatcher.Open(), DataCentres: view.DataCentres(), Conditions: map[string]fellow.Condition{},
+	}
+	for _, member := range view.Members() {
+		status.Members = append(status.Members, member.Fields())
+	}
+	for id, condition := range i.owner.Conditions() {
+		status.Conditions[string(id)] = condition
+	}
+	statuses := i.client.Statuses()
+	for _, address := range i.controlAddresses() {
+		status.Control = append(status.Control, controlStatus(address, statuses))
+	}
+	return status
+}
+
+// Propose passes a change to the control instances.
+func (i *Instance) Propose(command tabulator.Command) (controller.ProposeReply, error) {
+	reply, err := i.client.Propose(command)
+	i.timeline.Add("change", i.self.Instance, string(reply.Result.Verdict)+" "+reply.Refused)
+	return reply, err
+}
+
+// Lookup returns the recorded outcome of a change.
+func (i *Instance) Lookup(changeID string) (controller.LookupReply, error) {
+	return i.client.Lookup(changeID)
+}
+
+// History returns the changes of operators.
+func (i *Instance) History() (controller.HistoryReply, error) { return i.client.History() }
+
+// InForce tells how many instances act on a revision.
+func (i *Instance) InForce(revision uint64) (controller.InForceReply, error) {
+	return i.client.InForce(revision)
+}
+
+// Configure changes the control members by one.
+func (i *Instance) Configure(action controller.ConfigAction, node replicator.NodeID) (controller.ConfigReply, error) {
+	return i.client.Configure(action, node)
+}
+
+// Events returns the time line of this instance.
+func (i *Instance) Events(filter timeliner.Filter) []timeliner.Event {
+	return i.timeline.Events(filter)
+}
+
+// Trace returns a kept query.
+func (i *Instance) Trace(id string) (tracer.Trace, bool) { return i.traces.Find(id) }
+
+// Slowest returns the slowest kept queries.
+func (i *Instance) Slowest() []tracer.Trace { return i.traces.Slowest() }
+
+func controlStatus(address string, statuses map[string]controller.StatusReply) operator.ControlStatus {
+	reply, ok := statuses[address]
+	if !ok {
+		return operator.ControlStatus{Address: address, Role: "unreachable"}
+	}
+	status := operator.ControlStatus{
+		Address: address, Node: string(reply.Status.ID), Role: string(reply.Status.Role), Leader: string(reply.Status.Leader),
+		Term: reply.Status.Term, Commit: reply.Status.Commit, Log: reply.Status.LogLength, Revision: reply.Revision,
+		Sessions: reply.Sessions, Failed: reply.Failed, Match: map[string]uint64{},
+	}
+	for _, id := range reply.Status.Config.Voters {
+		status.Voters = append(status.Voters, string(id))
+	}
+	for _, id := range reply.Status.Config.Learners {
+		status.Learners = append(status.Learners, string(id))
+	}
+	for id, match := range reply.Status.Match {
+		status.Match[string(id)] = match
+	}
+	return status
+}
--- /dev/null
+++ b/pkg/runner/instance.go
@@ -0,0 +1,398 @@
+package runner
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"lovagedeck/pkg/admitter"
+	"lovagedeck/pkg/caller"
+	"lovagedeck/pkg/chooser"
+	"lovagedeck/pkg/configurer"
+	"lovagedeck/pkg/controller"
+	"lovagedeck/pkg/coordinator"
+	"lovagedeck/pkg/dispatcher"
+	"lovagedeck/pkg/fellow"
+	"lovagedeck/pkg/journaler"
+	"lovagedeck/pkg/leaf"
+	"lovagedeck/pkg/linker"
+	"lovagedeck/pkg/operator"
+	"lovagedeck/pkg/owner"
+	"lovagedeck/pkg/platform"
+	"lovagedeck/pkg/replicator"
+	"lovagedeck/pkg/tabulator"
+	"lovagedeck/pkg/timeliner"
+	"lovagedeck/pkg/tracer"
+)
+
+const (
+	ticketTimeout   = 65 * time.Second
+	drainTimeout    = 20 * time.Second
+	drainPoll       = 20 * time.Millisecond
+	releaseGrace    = 4 * time.Second
+	shutdownTimeout = 5 * time.Second
+)
+
+type (
+	// Option sets up an Instance.
+	Option func(*options)
+
+	options struct {
+		log       logr.Logger
+		dial      linker.Dial
+		leafDial  leaf.Dial
+		policy    chooser.Policy
+		growth    admitter.Growth
+		noHedges  bool
+		noGate    bool
+		splitOver int
+		seed      uint64
+	}
+
+	// Instance is one running instance of the tier.
+	Instance struct {
+		settings    configurer.Settings
+		options     options
+		self        tabulator.MemberID
+		epoch       time.Time
+		key         []byte
+		metrics     *metrics.Set
+		timeline    *timeliner.Timeline
+		traces      *tracer.Store
+		transport   *transport
+		mailbox     *mailbox
+		owner       *owner.Owner
+		dispatcher  *dispatcher.Dispatcher
+		client      *controller.Client
+		control     *controller.Server
+		journal     *journaler.Journaler
+		platform    *platform.Client
+		fellows     *linker.Server
+		callers     *caller.Server
+		operators   *operator.Server
+		draining    atomic.Bool
+		platformBad atomic.Bool
+	}
+)
+
+// WithLog sets the log.
+func WithLog(log logr.Logger) Option { return func(o *options) { o.log = log } }
+
+// WithDial sets how connections to other instances are opened.
+func WithDial(dial linker.Dial) Option { return func(o *options) { o.dial = dial } }
+
+// WithLeafDial sets how connections to leafs are opened.
+func WithLeafDial(dial leaf.Dial) Option { return func(o *options) { o.leafDial = dial } }
+
+// WithPolicy sets how replicas are chosen.
+func WithPolicy(policy chooser.Policy) Option { return func(o *options) { o.policy = policy } }
+
+// WithGrowth sets how the limit of a leaf opens.
+func WithGrowth(growth admitter.Growth) Option { return func(o *options) { o.growth = growth } }
+
+// WithoutHedges turns hedges off.
+func WithoutHedges() Option { return func(o *options) { o.noHedges = true } }
+
+// WithoutGate lets queries start whatever the overload thresholds are.
+func WithoutGate() Option { return func(o *options) { o.noGate = true } }
+
+// WithStaticSplit makes each of count instances use its share of every leaf instead of owning leafs.
+func WithStaticSplit(count int) Option { return func(o *options) { o.splitOver = count } }
+
+// WithSeed sets the seed of all random choices.
+func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
+
+// New starts an instance with the given settings; Close or Shutdown ends it.
+func New(settings configurer.Settings, opts ...Option) (*Instance, error) {
+	o := options{log: logr.Discard(), growth: admitter.AdditiveGrowth{}, policy: chooser.Scored{}, seed: uint64(time.Now().UnixNano())}
+	for _, option := range opts {
+		option(&o)
+	}
+	key, err := os.ReadFile(settings.Path(settings.KeyFile))
+	if err != nil {
+		return nil, errors.Wrap(err, "start: read key-file")
+	}
+	i := &Instance{
+		settings: settings, options: o, epoch: time.Now(), key: key, metrics: metrics.NewSet(), traces: tracer.NewStore(),
+		self: tabulator.MemberID{Instance: settings.Instance, Incarnation: uint64(time.Now().UnixNano())},
+	}
+	i.timeline = timeliner.New(settings.Instance, time.Now)
+	if err := i.start(); err != nil {
+		i.Close()
+		return nil, err
+	}
+	o.log.Info("runner: the instance has started", "instance", i.self.String())
+	return i, nil
+}
+
+// ID returns which run of which instance this is.
+func (i *Instance) ID() tabulator.MemberID { return i.self }
+
+// Ready tells whether the instance takes queries.
+func (i *Instance) Ready() bool {
+	return !i.draining.Load() && i.client.LeaseHeld(i.now())
+}
+
+// Owned returns how many leafs the instance owns.
+func (i *Instance) Owned() int { return i.owner.Held() }
+
+// Opened returns how many leafs the instance may send to.
+func (i *Instance) Opened() int { return i.owner.Opened() }
+
+// View returns the table and membership in force at this instance.
+func (i *Instance) View() *tabulator.View { return i.client.View() }
+
+// Run runs a query at this instance.
+func (i *Instance) Run(ctx context.Context, request dispatcher.Request) dispatcher.Result {
+	return i.dispatcher.Run(ctx, request)
+}
+
+// Shutdown hands over the leafs, finishes what is under way and ends the instance.
+func (i *Instance) Shutdown() {
+	i.options.log.Info("runner: shutting down")
+	i.timeline.Add("draining", i.self.Instance, "no new queries")
+	i.draining.Store(true)
+	i.dispatcher.Drain()
+	_, _ = i.client.Propose(tabulator.Drain{Instance: i.self.Instance, Incarnation: i.self.Incarnation})
+	i.waitUntil(drainTimeout, func() bool { return i.dispatcher.Open() == 0 })
+	i.waitUntil(releaseGrace, func() bool { return i.owner.Held() == 0 })
+	i.waitUntil(drainTimeout, func() bool { return i.owner.Busy() == 0 })
+	i.client.Leave()
+	i.Close()
+}
+
+// Close ends the instance at once.
+func (i *Instance) Close() {
+	if i.callers != nil {
+		_ = i.callers.Close(shutdownTimeout)
+	}
+	if i.operators != nil {
+		_ = i.operators.Close(shutdownTimeout)
+	}
+	if i.platform != nil {
+		i.platform.Close()
+	}
+	if i.client != nil {
+		i.client.Close()
+	}
+	if i.control != nil {
+		i.control.Close()
+	}
+	if i.owner != nil {
+		i.owner.Close()
+	}
+	if i.transport != nil {
+		i.transport.close()
+	}
+	if i.mailbox != nil {
+		i.mailbox.close()
+	}
+	if i.fellows != nil {
+		i.fellows.Close()
+	}
+	if i.journal != nil {
+		_ = i.journal.Close()
+	}
+}
+
+func (i *Instance) now() time.Duration { return time.Since(i.epoch) }
+
+func (i *Instance) random(part uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(i.options.seed, part))
+}
+
+func (i *Instance) start() error {
+	files, err := newCertificates(i.settings)
+	if err != nil {
+		return err
+	}
+	link := i.newLinker(files)
+	i.startTraffic(link)
+	if err := i.startControl(link); err != nil {
+		return err
+	}
+	if err := i.serveFellows(link); err != nil {
+		return err
+	}
+	if err := i.serveCallers(files.server()); err != nil {
+		return err
+	}
+	if err := i.serveOperators(files.server()); err != nil {
+		return err
+	}
+	if i.control != nil {
+		i.control.Run()
+	}
+	i.owner.Run()
+	i.client.Run()
+	i.platform.Run()
+	return nil
+}
+
+func (i *Instance) newLinker(files *certificates) *linker.Linker {
+	options := []linker.Option{linker.WithFaults(func(peer string, err error) {
+		i.timeline.Add("connection-refused", peer, err.Error())
+		i.options.log.Info("linker: a connection was refused", "peer", peer, "error", err.Error())
+	})}
+	if i.options.dial != nil {
+		options = append(options, linker.WithDial(i.options.dial))
+	}
+	if files.mutual() {
+		options = append(options, linker.WithTLS(files.clientMutual, files.serverMutual))
+	}
+	return linker.New(linker.NewSecret(i.settings.Cluster, i.key), options...)
+}
+
+func (i *Instance) startTraffic(link *linker.Linker) {
+	i.transport = newTransport(link, i.self, i.settings.Listen.Fellow)
+	i.client = controller.NewClient(controller.ClientConfig{
+		Member: i.member(), Addresses: i.controlAddresses(), Linker: link, Now: i.now, Random: i.random(1),
+		Timeline: i.timeline, OnView: i.onView,
+	})
+	i.dispatcher = dispatcher.New(dispatcher.Config{
+		Self: i.self, Now: i.now, Wall: time.Now, LeaseHeld: i.client.LeaseHeld, Transport: i.transport,
+		Random: i.random(2), Policy: i.options.policy, NoHedges: i.options.noHedges, NoGate: i.options.noGate,
+		LocalOnly: i.options.splitOver > 0,
+	}, i.traces, i.metrics)
+	i.owner = owner.New(owner.Config{
+		Self: i.self, DataCentre: i.settings.DataCentre, Now: i.now, LeaseHeld: i.client.LeaseHeld,
+		ReplyTo: i.transport.Reply, AskRelease: i.transport.AskRelease, Note: i.timeline.Add, Dial: i.options.leafDial,
+		Growth: i.options.growth, SplitOver: i.options.splitOver,
+	}, i.metrics)
+	i.transport.lost = i.dispatcher.OnLost
+	i.mailbox = newMailbox(i.self, i)
+	i.transport.local = i.mailbox
+	i.platform = platform.New(i.settings.Platform, i.onRoster, i.onPlatformFault)
+}
+
+func (i *Instance) startControl(link *linker.Linker) error {
+	if !i.settings.IsControl() {
+		return nil
+	}
+	journal, saved, err := journaler.Open(i.settings.Path(i.settings.DataFolder), i.settings.Cluster, i.settings.Instance)
+	if err != nil {
+		return errors.Wrap(err, "start: open data-folder")
+	}
+	i.journal = journal
+	founders := make([]replicator.NodeID, 0, len(i.settings.Control))
+	addresses := map[string]string{}
+	for _, member := range i.settings.Control {
+		founders = append(founders, journaler.NodeID(member.Instance, journaler.FirstDisk))
+		addresses[member.Instance] = member.Fellow
+	}
+	if journal.Identity().Disk != journaler.FirstDisk {
+		founders = nil
+	}
+	i.control, err = controller.NewServer(controller.ServerConfig{
+		Instance: i.settings.Instance, Node: journal.Identity().Node(), Founders: founders, Addresses: addresses,
+		Linker: link, Store: journal, Saved: saved, Now: i.now, Random: i.random(3), Timeline: i.timeline,
+	})
+	return errors.Wrap(err, "start: continue the log")
+}
+
+func (i *Instance) serveFellows(link *linker.Linker) error {
+	listener, err := net.Listen("tcp", i.settings.Listen.Fellow)
+	if err != nil {
+		return errors.Wrap(err, "start: listen/fellow")
+	}
+	receivers := map[string]any{"Fellow": fellow.NewService(i.self, i)}
+	if i.control != nil {
+		receivers["Control"] = controller.NewService(i.control)
+	}
+	i.fellows, err = link.Serve(listener, receivers)
+	return err
+}
+
+func (i *Instance) serveCallers(tlsConfig *tls.Config) error {
+	listener, err := net.Listen("tcp", i.settings.Listen.Caller)
+	if err != nil {
+		return errors.Wrap(err, "start: listen/caller")
+	}
+	i.callers = caller.New(caller.Config{
+		Self: i.self, Run: i.dispatcher.Run, Ready: i.Ready, Pass: i.passTicket, Now: i.now, TLS: tlsConfig,
+	})
+	i.callers.Serve(listener)
+	return nil
+}
+
+func (i *Instance) serveOperators(tlsConfig *tls.Config) error {
+	listener, err := net.Listen("tcp", i.settings.Listen.Operator)
+	if err != nil {
+		return errors.Wrap(err, "start: listen/operator")
+	}
+	i.operators = operator.New(operator.Config{
+		Backend: i, ReadTokenSHA256: i.settings.Tokens.ReadSHA256, WriteTokenSHA256: i.settings.Tokens.WriteSHA256, TLS: tlsConfig,
+	})
+	i.operators.Serve(listener)
+	return nil
+}
+
+func (i *Instance) member() tabulator.MemberFields {
+	return tabulator.MemberFields{
+		Instance: i.self.Instance, Incarnation: i.self.Incarnation, DataCentre: i.settings.DataCentre,
+		FellowAddress: i.settings.Listen.Fellow, OperatorAddress: i.settings.Listen.Operator,
+	}
+}
+
+// controlAddresses lists this instance first where it has the control role.
+func (i *Instance) controlAddresses() []string {
+	addresses := make([]string, 0, len(i.settings.Control))
+	for _, member := range i.settings.Control {
+		addresses = append(addresses, member.Fellow)
+	}
+	sort.Strings(addresses)
+	return addresses
+}
+
+func (i *Instance) onView(view *tabulator.View) {
+	i.transport.retain(view)
+	i.dispatcher.OnView(view)
+	i.owner.OnView(view)
+}
+
+func (i *Instance) onRoster(records []coordinator.LeafRecord) {
+	i.platformBad.Store(false)
+	i.dispatcher.OnRoster(records)
+	i.owner.OnRoster(records)
+}
+
+func (i *Instance) onPlatformFault(err error) {
+	if i.platformBad.Swap(true) {
+		return
+	}
+	i.timeline.Add("platform-fault", "platform", err.Error())
+	i.options.log.Info("platform: the list could not be read", "error", err.Error())
+}
+
+func (i *Instance) passTicket(to tabulator.MemberID, ticket string, request []byte) ([]byte, error) {
+	member, ok := i.View().Member(to.Instance)
+	if !ok || member.ID() != to {
+		return nil, errors.Errorf("the incarnation %s that granted the ticket is gone", to)
+	}
+	return i.transport.RunTicket(member, ticket, request)
+}
+
+func (i *Instance) waitUntil(timeout time.Duration, done func() bool) {
+	for end := time.Now().Add(timeout); time.Now().Before(end) && !done(); {
+		time.Sleep(drainPoll)
+	}
+}
+
+// WriteMetrics writes the metrics of this instance in the Prometheus text format.
+func (i *Instance) WriteMetrics(w io.Writer) {
+	i.metrics.WritePrometheus(w)
+	if !strings.Contains(i.settings.Instance, "/") {
+		metrics.WriteProcessMetrics(w)
+	}
+}
--- /dev/null
+++ b/pkg/supervisor/doc.go
@@ -0,0 +1,2 @@
+// Package supervisor is the command line of lovagedeckd, the daemon of every instance.
+package supervisor
--- /dev/null
+++ b/pkg/tabulator/doc.go
@@ -0,0 +1,2 @@
+// Package tabulator is the replicated state machine: the table of weights and limits, the data centre states and the membership.
+package tabulator
--- /dev/null
+++ b/pkg/tabulator/member.go
@@ -0,0 +1,73 @@
+// A member is an entry instance that holds, or held, a lease.
+
+package tabulator
+
+import "fmt"
+
+type (
+	// MemberID names one run of an instance.
+	MemberID struct {
+		Instance    string
+		Incarnation uint64
+	}
+
+	// MemberFields is the wire form of a member.
+	MemberFields struct {
+		Instance        string `json:"instance"`
+		Incarnation     uint64 `json:"incarnation"`
+		DataCentre      string `json:"data-centre"`
+		FellowAddress   string `json:"fellow-address"`
+		OperatorAddress string `json:"operator-address"`
+		Via             string `json:"via"`
+		Draining        bool   `json:"draining"`
+		Joined          uint64 `json:"joined"`
+		Revision        uint64 `json:"revision"`
+	}
+
+	// Member is an entry instance in the membership.
+	Member struct {
+		fields MemberFields
+	}
+
+	// Removal records a member that was taken out.
+	Removal struct {
+		Instance    string        `json:"instance"`
+		Incarnation uint64        `json:"incarnation"`
+		Reason      RemovalReason `json:"reason"`
+		Revision    uint64        `json:"revision"`
+	}
+)
+
+// NewMember returns the member with the given fields.
+func NewMember(fields MemberFields) Member { return Member{fields: fields} }
+
+// Fields returns the wire form of the member.
+func (m Member) Fields() MemberFields { return m.fields }
+
+// ID returns the instance and incarnation of the member.
+func (m Member) ID() MemberID {
+	return MemberID{Instance: m.fields.Instance, Incarnation: m.fields.Incarnation}
+}
+
+// Instance returns the name of the instance.
+func (m Member) Instance() string { return m.fields.Instance }
+
+// DataCentre returns the data centre of the instance.
+func (m Member) DataCentre() string { return m.fields.DataCentre }
+
+// FellowAddress returns the address for calls between instances.
+func (m Member) FellowAddress() string { return m.fields.FellowAddress }
+
+// OperatorAddress returns the address of the administration API.
+func (m Member) OperatorAddress() string { return m.fields.OperatorAddress }
+
+// Draining tells whether the member is giving up its leafs.
+func (m Member) Draining() bool { return m.fields.Draining }
+
+// Joined returns the revision at which this incarnation joined.
+func (m Member) Joined() uint64 { return m.fields.Joined }
+
+// String returns the identifier as instance#incarnation.
+func (id MemberID) String() string {
+	return fmt.Sprintf("%s#%x", id.Instance, id.Incarnation)
+}
