--- a/pkg/configurer/settings.go
+++ b/pkg/configurer/settings.go
@@ -152,7 +152,7 @@
 	return filepath.Join(s.folder, file)
 }
 
-// Control tells whether the instance has the control role.
+// IsControl tells whether the instance has the control role.
 func (s Settings) IsControl() bool { return s.DataFolder != "" }
 
 func (c *checker) check(s Settings) {
