Ask elsewhere when an owner does not take a batch

Cause: a silently isolated owner took no batch, but its callers waited for the call's one-second limit, so every query that touched it met its deadline. Change: a call only hands a batch over; a fellow that has not returned from it within five usual times (20 to 100 ms) is silent, its asks are asked elsewhere, its leafs are asked last, and empty batches probe it. An instance most of whose fellows are silent refuses queries as not run. A link numbers its batches from the clock, so a later link repeats no number. Ruled out: a lock cycle (a dump of all goroutines at the stall showed none).

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -22,6 +22,7 @@
 	restPenalty       = 200 * time.Millisecond
 	reportLifetime    = 2 * time.Second
 	draws             = 2
+	unavailableFor    = 100 * time.Millisecond
 )
 
 type (
@@ -74,6 +75,7 @@
 		faults       int
 		ejection     time.Duration
 		ejectedUntil time.Duration
+		awayUntil    time.Duration
 	}
 )
 
@@ -157,6 +159,11 @@
 	r.faults = 0
 }
 
+// OnUnavailable notes that the leaf has no owner that may send to it; it is asked last for a moment.
+func (c *Chooser) OnUnavailable(leaf assigner.LeafID, now time.Duration) {
+	c.record(leaf).awayUntil = now + unavailableFor
+}
+
 // Threshold returns the overload threshold that the owner of the leaf last reported.
 func (c *Chooser) Threshold(leaf assigner.LeafID, now time.Duration) float64 {
 	r := c.record(leaf)
@@ -169,7 +176,7 @@
 // Usable tells whether a hedge to the leaf is reasonable: it is neither cold, resting nor ejected.
 func (c *Chooser) Usable(leaf assigner.LeafID, now time.Duration) bool {
 	r := c.record(leaf)
-	return !r.report.Cold && !r.report.Resting && now >= r.ejectedUntil
+	return !r.report.Cold && !r.report.Resting && now >= r.ejectedUntil && now >= r.awayUntil
 }
 
 func (c *Chooser) record(leaf assigner.LeafID) *record {
@@ -183,13 +190,20 @@
 
 // withoutEjected leaves out ejected leafs, but never more than the allowed share of the candidates.
 func (c *Chooser) withoutEjected(candidates []Candidate, now time.Duration) []int {
-	var kept, ejected []int
+	var kept, ejected, away []int
 	for i, candidate := range candidates {
-		if now < c.record(candidate.Leaf).ejectedUntil {
+		r := c.record(candidate.Leaf)
+		switch {
+		case now < r.awayUntil:
+			away = append(away, i)
+		case now < r.ejectedUntil:
 			ejected = append(ejected, i)
-			continue
+		default:
+			kept = append(kept, i)
 		}
-		kept = append(kept, i)
+	}
+	if len(kept)+len(ejected) == 0 {
+		return away
 	}
 	if len(ejected)*100 > len(candidates)*ejectSharePercent {
 		return append(kept, ejected...)
--- a/pkg/coordinator/query.go
+++ b/pkg/coordinator/query.go
@@ -104,6 +104,8 @@
 		NoHedges  bool
 		NextID    func() uint64
 		SendLimit time.Duration
+		// Avoid tells whether the owner of a leaf is unlikely to answer; such a leaf is asked last.
+		Avoid func(leaf assigner.LeafID) bool
 	}
 
 	// Query decides the course of one query; it belongs to one goroutine at a time.
@@ -295,17 +297,23 @@
 	}}
 }
 
-// pick returns the replica to ask, among those that were asked least often.
+// pick returns the replica to ask, among those that were asked least often and whose owner answers.
 func (q *Query) pick(index int, kind AttemptKind, now time.Duration) (assigner.LeafID, bool) {
+	candidates, avoided := q.candidates(index, kind, now)
+	if len(candidates) == 0 && kind != AttemptHedge {
+		candidates = avoided
+	}
+	chosen := q.tools.Chooser.Choose(candidates, now)
+	if chosen < 0 {
+		return "", false
+	}
+	return candidates[chosen].Leaf, true
+}
+
+func (q *Query) candidates(index int, kind AttemptKind, now time.Duration) (good, avoided []chooser.Candidate) {
 	shard := &q.shards[index]
 	plan := q.plan.Shards[index]
-	fewest := -1
-	for _, leaf := range plan.Candidates {
-		if !shard.barred[leaf] && (fewest < 0 || shard.tries[leaf] < fewest) {
-			fewest = shard.tries[leaf]
-		}
-	}
-	var candidates []chooser.Candidate
+	fewest := q.fewestTries(index)
 	for i, leaf := range plan.Candidates {
 		if shard.barred[leaf] || shard.tries[leaf] != fewest {
 			continue
@@ -313,13 +321,25 @@
 		if kind == AttemptHedge && (fewest > 0 || !q.tools.Chooser.Usable(leaf, now)) {
 			continue
 		}
-		candidates = append(candidates, chooser.Candidate{Leaf: leaf, Weight: plan.Weights[i]})
+		candidate := chooser.Candidate{Leaf: leaf, Weight: plan.Weights[i]}
+		if q.tools.Avoid != nil && q.tools.Avoid(leaf) {
+			avoided = append(avoided, candidate)
+			continue
+		}
+		good = append(good, candidate)
 	}
-	chosen := q.tools.Chooser.Choose(candidates, now)
-	if chosen < 0 {
-		return "", false
+	return good, avoided
+}
+
+func (q *Query) fewestTries(index int) int {
+	shard := &q.shards[index]
+	fewest := maxAttemptsPerShard
+	for _, leaf := range q.plan.Shards[index].Candidates {
+		if !shard.barred[leaf] {
+			fewest = min(fewest, shard.tries[leaf])
+		}
 	}
-	return candidates[chosen].Leaf, true
+	return fewest
 }
 
 func (q *Query) onHit(index int, leaf assigner.LeafID, hit Hit, now time.Duration) []Action {
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -34,6 +34,8 @@
 	Transport interface {
 		Ask(owner tabulator.Member, ask fellow.Ask)
 		Cancel(owner tabulator.MemberID, id uint64)
+		Silent(owner tabulator.MemberID) bool
+		CutOff() bool
 		FetchHoldings(owner tabulator.Member, leafs []string) (map[string][]fellow.Holding, error)
 	}
 
@@ -210,6 +212,9 @@
 	if !d.config.LeaseHeld(begun) {
 		return coordinator.Limits{}, ReasonNotReady
 	}
+	if d.config.Transport.CutOff() {
+		return coordinator.Limits{}, ReasonCutOff
+	}
 	limits, ok := d.limits(request, begun)
 	if !ok {
 		return coordinator.Limits{}, ReasonNoService
@@ -333,7 +338,7 @@
 	}
 	c.query = coordinator.NewQuery(plan, limits, coordinator.Tools{
 		Chooser: d.chooser, Budget: tools.budget, Quantile: tools.quantile, NoHedges: d.config.NoHedges,
-		NextID: d.nextID, SendLimit: assigner.MaxSubDeadline,
+		NextID: d.nextID, SendLimit: assigner.MaxSubDeadline, Avoid: d.ownerIsSilent,
 	})
 	c.timer = time.AfterFunc(time.Hour, func() { d.onTime(c) })
 	d.carryOut(c, c.query.Begin(now))
@@ -388,6 +393,9 @@
 		return
 	}
 	delete(d.running, reply.ID)
+	if reply.Kind == fellow.KindNotRun && !reply.Condition.Known {
+		d.chooser.OnUnavailable(leaf, now)
+	}
 	d.carryOut(c, c.query.OnReply(toReply(reply), now))
 }
 
@@ -453,6 +461,15 @@
 	return d.assignment.Owner(assigner.NewLeaf(record.ID, record.DataCentre))
 }
 
+func (d *Dispatcher) ownerIsSilent(leaf assigner.LeafID) bool {
+	record, ok := d.catalogue.Leaf(leaf)
+	if !ok {
+		return true
+	}
+	owner, ok := d.owner(record)
+	return !ok || d.config.Transport.Silent(owner.ID())
+}
+
 func (d *Dispatcher) toolsFor(services []string) *toolSet {
 	key := strings.Join(services, ",")
 	if d.tools[key] == nil && len(d.tools) >= maxToolSets {
@@ -546,7 +563,7 @@
 }
 
 func retryAfter(reason string) time.Duration {
-	if reason == ReasonNotReady || reason == ReasonShuttingDown {
+	if reason != ReasonOverloaded {
 		return retryAfterNotReady
 	}
 	return retryAfterOverload
--- a/pkg/dispatcher/request.go
+++ b/pkg/dispatcher/request.go
@@ -34,6 +34,8 @@
 	ReasonNoHoldings = "no-known-holdings"
 	// ReasonNotReady says that the instance holds no lease on the table.
 	ReasonNotReady = "no-lease-on-the-table"
+	// ReasonCutOff says that most other instances do not take what this one sends.
+	ReasonCutOff = "cut-off-from-other-instances"
 	// ReasonOverloaded says that the leafs of the query refuse queries of its priority.
 	ReasonOverloaded = "overloaded"
 	// ReasonShuttingDown says that the instance is shutting down.
--- a/pkg/fellow/link.go
+++ b/pkg/fellow/link.go
@@ -22,6 +22,11 @@
 	maxBatchItems    = 256
 	callTimeout      = time.Second
 	redialPause      = 50 * time.Millisecond
+	lowestAckTime    = 20 * time.Millisecond
+	highestAckTime   = 100 * time.Millisecond
+	ackTimeFactor    = 5
+	ackGain          = 0.1
+	probePause       = 60 * time.Millisecond
 )
 
 type (
@@ -37,19 +42,21 @@
 		target  string
 		lost    Lost
 
-		dialing   sync.Mutex
-		mu        sync.Mutex
-		wake      *sync.Cond
-		asks      []Ask
-		cancels   []uint64
-		replies   []Reply
-		sequence  uint64
-		client    *rpc.Client
-		failedAt  time.Time
-		closed    bool
-		group     conc.WaitGroup
-		batches   int
-		batchAsks int
+		dialing  sync.Mutex
+		mu       sync.Mutex
+		wake     *sync.Cond
+		asks     []Ask
+		cancels  []uint64
+		replies  []Reply
+		sequence uint64
+		client   *rpc.Client
+		failedAt time.Time
+		closed   bool
+		group    conc.WaitGroup
+		ackTime  time.Duration
+		silent   bool
+		probing  bool
+		probe    bool
 	}
 )
 
@@ -64,7 +71,11 @@
 }
 
 func newLink(l *linker.Linker, self tabulator.MemberID, address string, peer tabulator.MemberID, target string, lost Lost) *Link {
-	link := &Link{linker: l, self: self, address: address, peer: peer, target: target, lost: lost}
+	link := &Link{
+		linker: l, self: self, address: address, peer: peer, target: target, lost: lost,
+		// Sequence numbers go on from the clock, so that a later link of this incarnation uses none of them again.
+		sequence: uint64(time.Now().UnixNano()),
+	}
 	link.wake = sync.NewCond(&link.mu)
 	for range maxCallsAtOnce {
 		link.group.Go(link.run)
@@ -153,57 +164,117 @@
 func (l *Link) take() (Batch, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for !l.closed && len(l.asks)+len(l.cancels)+len(l.replies) == 0 {
+	for !l.closed && !l.probe && len(l.asks)+len(l.cancels)+len(l.replies) == 0 {
 		l.wake.Wait()
 	}
 	if l.closed {
 		return Batch{}, false
 	}
+	l.probe = false
 	l.sequence++
 	batch := Batch{From: l.self, Address: l.address, To: l.peer, Sequence: l.sequence}
 	batch.Asks, l.asks = split(l.asks)
 	batch.Cancels, l.cancels = split(l.cancels)
 	batch.Replies, l.replies = split(l.replies)
-	l.batches++
-	l.batchAsks += len(batch.Asks)
 	return batch, true
 }
 
+// send makes one call. The call only hands the batch over, so a fellow that does not return from it soon is
+// silent, and what was asked of it may be asked elsewhere.
 func (l *Link) send(batch Batch) {
 	client, err := l.connect()
 	if err != nil {
+		l.setSilent()
 		l.report(batch.Asks, false, ReasonUnreachable)
 		return
 	}
-	err = l.await(client, client.Go("Fellow.Exchange", batch, &struct{}{}, make(chan *rpc.Call, 1)), callTimeout)
+	begun := time.Now()
+	call := client.Go("Fellow.Exchange", batch, &struct{}{}, make(chan *rpc.Call, 1))
+	inTime, err := l.awaitFor(client, call, l.patience())
+	if !inTime {
+		l.setSilent()
+		l.report(batch.Asks, true, ReasonSilent)
+		batch.Asks = nil
+		err = l.await(client, call, callTimeout)
+	}
 	if err == nil {
+		l.onAck(time.Since(begun))
 		return
 	}
+	l.setSilent()
 	var serverError rpc.ServerError
-	refused := errors.As(err, &serverError) && strings.HasPrefix(err.Error(), wrongIncarnation)
+	refused := errors.As(err, &serverError) && strings.Contains(err.Error(), wrongIncarnation)
 	l.report(batch.Asks, !refused, ReasonUnreachable)
 }
 
+// Silent tells whether the fellow has not taken what was last sent to it.
+func (l *Link) Silent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
+
+// setSilent marks the fellow as silent and sends an empty batch after a pause, which ends the silence when it is taken.
+func (l *Link) setSilent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = true
+	if l.closed || l.probing {
+		return
+	}
+	l.probing = true
+	time.AfterFunc(probePause, func() {
+		l.add(func() { l.probing, l.probe = false, l.silent })
+	})
+}
+
+func (l *Link) onAck(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = false
+	if l.ackTime == 0 {
+		l.ackTime = took
+	}
+	l.ackTime += time.Duration(ackGain * float64(took-l.ackTime))
+}
+
+// patience returns how long a call may take before the fellow counts as silent.
+func (l *Link) patience() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(lowestAckTime, min(highestAckTime, ackTimeFactor*l.ackTime))
+}
+
 func (l *Link) report(asks []Ask, maybeReceived bool, reason string) {
 	if len(asks) > 0 && l.lost != nil {
 		l.lost(asks, maybeReceived, reason)
 	}
 }
 
+// await waits for the end of a call and drops the connection when it does not end in time.
 func (l *Link) await(client *rpc.Client, call *rpc.Call, timeout time.Duration) error {
+	inTime, err := l.awaitFor(client, call, timeout)
+	if inTime {
+		return err
+	}
+	l.drop(client)
+	return errors.Errorf("call instance %s: no answer within %s", l.peer, timeout)
+}
+
+// awaitFor waits for the end of a call and tells whether it came in time.
+func (l *Link) awaitFor(client *rpc.Client, call *rpc.Call, timeout time.Duration) (inTime bool, err error) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-call.Done:
-		var serverError rpc.ServerError
-		if call.Error != nil && !errors.As(call.Error, &serverError) {
-			l.drop(client)
-		}
-		return errors.Wrapf(call.Error, "call instance %s", l.peer)
 	case <-timer.C:
+		return false, nil
+	}
+	var serverError rpc.ServerError
+	if call.Error != nil && !errors.As(call.Error, &serverError) {
 		l.drop(client)
-		return errors.Errorf("call instance %s: no answer within %s", l.peer, timeout)
 	}
+	return true, errors.Wrapf(call.Error, "call instance %s", l.peer)
 }
 
 func (l *Link) connect() (*rpc.Client, error) {
--- a/pkg/fellow/wire.go
+++ b/pkg/fellow/wire.go
@@ -30,6 +30,8 @@
 	ReasonNoOwner = "no-owner"
 	// ReasonUnreachable says that the owner could not be reached.
 	ReasonUnreachable = "owner-unreachable"
+	// ReasonSilent says that the owner did not take the request in the usual time.
+	ReasonSilent = "owner-silent"
 	// ReasonTakenOut says that the row, data centre or leaf takes no new work.
 	ReasonTakenOut = "taken-out"
 	// ReasonUnknownLeaf says that the roster of the owner does not have the leaf.
--- a/pkg/runner/instance.go
+++ b/pkg/runner/instance.go
@@ -141,7 +141,7 @@
 
 // Ready tells whether the instance takes queries.
 func (i *Instance) Ready() bool {
-	return !i.draining.Load() && i.client.LeaseHeld(i.now())
+	return !i.draining.Load() && i.client.LeaseHeld(i.now()) && !i.transport.CutOff()
 }
 
 // Owned returns how many leafs the instance owns.
--- a/pkg/runner/transport.go
+++ b/pkg/runner/transport.go
@@ -11,6 +11,9 @@
 	"lovagedeck/pkg/tabulator"
 )
 
+// fewestLinks is how many fellows must be known before their silence says something about this instance.
+const fewestLinks = 3
+
 // transport carries asks, cancellations and replies between instances. What
 // is for this instance goes through a mailbox, so that neither side runs
 // inside the lock of the other.
@@ -61,6 +64,31 @@
 	t.link(to, address).Reply(reply)
 }
 
+// Silent tells whether an instance has not taken what was last sent to it.
+func (t *transport) Silent(owner tabulator.MemberID) bool {
+	t.mu.Lock()
+	link := t.links[owner]
+	t.mu.Unlock()
+	return link != nil && link.Silent()
+}
+
+// CutOff tells whether most of the fellows that this instance talks to are silent.
+func (t *transport) CutOff() bool {
+	t.mu.Lock()
+	links := make([]*fellow.Link, 0, len(t.links))
+	for _, link := range t.links {
+		links = append(links, link)
+	}
+	t.mu.Unlock()
+	silent := 0
+	for _, link := range links {
+		if link.Silent() {
+			silent++
+		}
+	}
+	return len(links) >= fewestLinks && 2*silent > len(links)
+}
+
 // FetchHoldings asks an owner what its leafs hold.
 func (t *transport) FetchHoldings(owner tabulator.Member, leafs []string) (map[string][]fellow.Holding, error) {
 	if owner.ID() == t.self {
