--- a/pkg/commander/main.go
+++ b/pkg/commander/main.go
@@ -30,6 +30,7 @@
 	verbDataCentre,
 	verbStatus,
 	verbControl,
+	verbBench,
 	verbEmulate,
 	verbVersion,
 }
--- a/pkg/demonstrator/demo.go
+++ b/pkg/demonstrator/demo.go
@@ -124,7 +124,7 @@
 }
 
 func (d *demo) underLoad(agency, tobermory emulator.Shape) error {
-	judge := experimenter.NewJudge(agency, tobermory)
+	judge := experimenter.NewJudge(d.fleet)
 	load := experimenter.NewLoad(loadRate, []experimenter.Template{
 		{Caller: "customs-officer", Services: agency.Query(71), Share: 0.4},
 		{Caller: "council-officer", Services: tobermory.Query(70), Share: 0.4},
@@ -225,7 +225,7 @@
 	r.P50, r.P99, r.P999 = tally.Percentile(50), tally.Percentile(99), tally.Percentile(99.9)
 	r.Coverage = tally.Coverage()
 	r.ExtraLoad = float64(after.Received-before.Received) / float64(max(1, tally.Needed()))
-	r.Violations, r.Examples = judge.Finish(d.fleet)
+	r.Violations, r.Examples = judge.Finish()
 	r.Slowest, _ = tally.Slowest()
 	if trace, ok := d.findTrace(r.Slowest); ok {
 		r.Explanation = tracer.Explain(trace)
--- a/pkg/emulator/fleet.go
+++ b/pkg/emulator/fleet.go
@@ -59,6 +59,7 @@
 		server   *fasthttp.Server
 		address  string
 		indexes  map[string]uint64
+		shards   map[string]int
 	}
 )
 
@@ -71,11 +72,12 @@
 func NewFleetAt(platformAddress string, seed uint64, shapes ...Shape) (*Fleet, error) {
 	f := &Fleet{
 		breaches: map[Breach]int{}, examples: map[Breach]string{}, effects: map[string]int{}, queries: map[string]bool{},
-		takenOut: map[string]time.Time{}, listed: map[string]string{}, indexes: map[string]uint64{},
+		takenOut: map[string]time.Time{}, listed: map[string]string{}, indexes: map[string]uint64{}, shards: map[string]int{},
 	}
 	for _, leafSpec := range allLeafs(shapes) {
 		l := newLeaf(leafSpec, f, seed+uint64(len(f.leafs)))
 		f.indexes[leafSpec.Index] = 1
+		f.setShards(leafSpec.Service, 1, leafSpec.Shards)
 		l.versions = []leaf.Holding{holding(leafSpec, 1)}
 		if err := l.listen("127.0.0.1:0"); err != nil {
 			f.Close()
@@ -164,6 +166,22 @@
 
 // Publish makes every leaf of the index hold the next version, and the present one too when keep is set; it returns the new version.
 func (f *Fleet) Publish(index string, keep bool) uint64 {
+	return f.publish(index, keep, func(shards int) int { return shards })
+}
+
+// Repartition publishes a version with half as many shards for each service, and keeps the present one.
+func (f *Fleet) Repartition(index string) uint64 {
+	return f.publish(index, true, func(shards int) int { return max(1, shards/2) })
+}
+
+// ShardsOf returns the shard count of a service in a version.
+func (f *Fleet) ShardsOf(service string, version uint64) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shards[shardKey(service, version)]
+}
+
+func (f *Fleet) publish(index string, keep bool, partition func(shards int) int) uint64 {
 	f.mu.Lock()
 	f.indexes[index]++
 	version := f.indexes[index]
@@ -172,15 +190,27 @@
 		if l.spec.Index != index {
 			continue
 		}
-		holdings := []leaf.Holding{holding(l.spec, version)}
+		shards := partition(l.spec.Shards)
+		f.setShards(l.spec.Service, version, shards)
+		holdings := []leaf.Holding{{Index: index, Version: version, Shard: l.spec.Shard % shards, Shards: shards}}
 		if keep {
-			holdings = append(holdings, holding(l.spec, version-1))
+			holdings = append(holdings, l.holdingsOf(version-1)...)
 		}
 		l.SetVersions(holdings)
 	}
 	return version
 }
 
+func (f *Fleet) setShards(service string, version uint64, shards int) {
+	f.mu.Lock()
+	f.shards[shardKey(service, version)] = shards
+	f.mu.Unlock()
+}
+
+func shardKey(service string, version uint64) string {
+	return fmt.Sprintf("%s@%d", service, version)
+}
+
 // Find returns the leaf with the given identifier.
 func (f *Fleet) Find(id string) (*Leaf, bool) {
 	for _, l := range f.leafs {
@@ -260,6 +290,11 @@
 	list := platform.List{}
 	f.mu.Lock()
 	list.Version = strconv.Itoa(f.version + 1)
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == list.Version {
+		f.mu.Unlock()
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
 	states := make(map[string]string, len(f.listed))
 	for id, state := range f.listed {
 		states[id] = state
--- a/pkg/emulator/leaf.go
+++ b/pkg/emulator/leaf.go
@@ -96,6 +96,18 @@
 	l.mu.Unlock()
 }
 
+// holdingsOf returns what the leaf holds of one version.
+func (l *Leaf) holdingsOf(version uint64) []leaf.Holding {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, held := range l.versions {
+		if held.Version == version {
+			return []leaf.Holding{held}
+		}
+	}
+	return nil
+}
+
 // SetLeaving makes the leaf announce that it is shutting down.
 func (l *Leaf) SetLeaving(leaving bool) {
 	l.mu.Lock()
--- a/pkg/experimenter/judge.go
+++ b/pkg/experimenter/judge.go
@@ -45,7 +45,7 @@
 
 	// Judge checks every answer against what the leafs did.
 	Judge struct {
-		shards     map[string]int
+		fleet      *emulator.Fleet
 		mu         sync.Mutex
 		violations map[string]int
 		examples   map[string]string
@@ -53,17 +53,9 @@
 	}
 )
 
-// NewJudge returns a judge that knows the shard count of each service.
-func NewJudge(shapes ...emulator.Shape) *Judge {
-	judge := &Judge{shards: map[string]int{}, violations: map[string]int{}, examples: map[string]string{}}
-	for _, shape := range shapes {
-		for _, family := range shape.Families {
-			for _, service := range family.ServiceNames() {
-				judge.shards[service] = family.Leafs
-			}
-		}
-	}
-	return judge
+// NewJudge returns a judge that asks the fleet for the shard count of each service and version.
+func NewJudge(fleet *emulator.Fleet) *Judge {
+	return &Judge{fleet: fleet, violations: map[string]int{}, examples: map[string]string{}}
 }
 
 // Check judges one answer.
@@ -85,18 +77,18 @@
 }
 
 // Finish compares the refusals with what the leafs started and returns all violations, those of the fleet included.
-func (j *Judge) Finish(fleet *emulator.Fleet) (map[string]int, map[string]string) {
+func (j *Judge) Finish() (map[string]int, map[string]string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, id := range j.refused {
-		if fleet.StartedQuery(id) {
+		if j.fleet.StartedQuery(id) {
 			j.add(ViolationNotRun, id)
 		}
 	}
-	for kind, count := range fleet.Breaches() {
+	for kind, count := range j.fleet.Breaches() {
 		j.violations[string(kind)] += count
 	}
-	for kind, example := range fleet.Examples() {
+	for kind, example := range j.fleet.Examples() {
 		j.examples[string(kind)] = example
 	}
 	return j.violations, j.examples
@@ -105,7 +97,7 @@
 func (j *Judge) checkCoverage(o Observed) {
 	total := 0
 	for _, service := range o.Services {
-		total += j.shards[service]
+		total += j.fleet.ShardsOf(service, o.Version)
 	}
 	whole := o.Answered == o.Total
 	switch {
--- a/pkg/experimenter/load.go
+++ b/pkg/experimenter/load.go
@@ -44,6 +44,7 @@
 		needed    int
 		slowest   time.Duration
 		slowestID string
+		seconds   map[int]*hdrhistogram.Histogram
 		begun     time.Time
 		took      time.Duration
 	}
@@ -87,7 +88,7 @@
 
 func (l *Load) one(query dispatcher.Request, planned time.Time, tally *Tally) {
 	observed := l.ask(context.Background(), query)
-	tally.add(observed, time.Since(planned), len(query.Services))
+	tally.add(observed, time.Since(planned))
 	l.judge.Check(observed)
 }
 
@@ -111,11 +112,11 @@
 	return &Tally{
 		latency:  hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits),
 		coverage: hdrhistogram.New(histogramLowest, 10_000, histogramDigits),
-		outcomes: map[coordinator.Outcome]int{}, reasons: map[string]int{},
+		outcomes: map[coordinator.Outcome]int{}, reasons: map[string]int{}, seconds: map[int]*hdrhistogram.Histogram{},
 	}
 }
 
-func (t *Tally) add(o Observed, latency time.Duration, _ int) {
+func (t *Tally) add(o Observed, latency time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.offered++
@@ -131,11 +132,31 @@
 	if o.Total > 0 {
 		_ = t.coverage.RecordValue(max(1, int64(10_000*o.Answered/o.Total)))
 	}
+	t.addToSecond(latency)
 	if latency > t.slowest {
 		t.slowest, t.slowestID = latency, o.ID
 	}
 }
 
+func (t *Tally) addToSecond(latency time.Duration) {
+	second := int((time.Since(t.begun) - latency).Seconds())
+	if t.seconds[second] == nil {
+		t.seconds[second] = hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits)
+	}
+	_ = t.seconds[second].RecordValue(min(histogramHighest, max(1, latency.Microseconds())))
+}
+
+// PerSecond returns a latency quantile for each second of the load.
+func (t *Tally) PerSecond(percent float64) []time.Duration {
+	quantiles := make([]time.Duration, int(t.took.Seconds()))
+	for second := range quantiles {
+		if histogram := t.seconds[second]; histogram != nil {
+			quantiles[second] = time.Duration(histogram.ValueAtQuantile(percent)) * time.Microsecond
+		}
+	}
+	return quantiles
+}
+
 // Percentile returns a latency quantile of the queries that were not refused.
 func (t *Tally) Percentile(percent float64) time.Duration {
 	return time.Duration(t.latency.ValueAtQuantile(percent)) * time.Microsecond
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -81,16 +81,25 @@
 	}
 }
 
+// poll reads the list unless the platform says that it has not changed.
 func (c *Client) poll() error {
-	status, body, err := c.client.GetTimeout(nil, c.url, pollTimeout)
-	if err != nil {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(c.url)
+	request.Header.Set(fasthttp.HeaderIfNoneMatch, c.version)
+	if err := c.client.DoTimeout(request, response, pollTimeout); err != nil {
 		return errors.Wrap(err, "platform: poll the list")
 	}
-	if status != fasthttp.StatusOK {
-		return errors.Errorf("platform: poll the list: status %d", status)
+	switch response.StatusCode() {
+	case fasthttp.StatusNotModified:
+		return nil
+	case fasthttp.StatusOK:
+	default:
+		return errors.Errorf("platform: poll the list: status %d", response.StatusCode())
 	}
 	var list List
-	if err := json.Unmarshal(body, &list); err != nil {
+	if err := json.Unmarshal(response.Body(), &list); err != nil {
 		return errors.Wrap(err, "platform: decode the list")
 	}
 	if list.Version != "" && list.Version == c.version {
