Give each instance its own random source under one seed

Change: the name of the instance goes into the source; /ready and the tier now say why an instance is not ready.

--- a/pkg/assigner/map.go
+++ b/pkg/assigner/map.go
@@ -32,13 +32,20 @@
 		seed   uint64
 	}
 
+	// assigned is the owner of a leaf with the rank that made it the owner.
 	assigned struct {
 		leaf  Leaf
-		index int
+		owner candidate
+		rank  rank
+		found bool
 	}
-)
 
-const nobody = -1
+	// rank orders the candidates for one leaf.
+	rank struct {
+		near  bool
+		score uint64
+	}
+)
 
 // NewLeaf returns the leaf with the given identifier and data centre.
 func NewLeaf(id LeafID, dataCentre string) Leaf {
@@ -61,17 +68,25 @@
 	return &Map{epoch: view.Epoch(), members: candidates, owners: map[LeafID]assigned{}}
 }
 
-// Next returns the assignment for a later view and keeps what the change of members does not touch.
+// Next returns the assignment for a later view. A leaf keeps its owner unless that one is gone or a new member ranks higher.
 func (m *Map) Next(view *tabulator.View) *Map {
 	if view.Epoch() == m.epoch {
 		return m
 	}
 	next := NewMap(view)
-	if !m.keepsOrder(next) {
-		return next
+	present := eligible(next.members)
+	before := eligible(m.members)
+	var added []candidate
+	for id, c := range present {
+		if _, ok := before[id]; !ok {
+			added = append(added, c)
+		}
 	}
-	for id, old := range m.owners {
-		next.owners[id] = old
+	for id, known := range m.owners {
+		if owner, ok := present[known.owner.member.ID()]; ok && known.found {
+			known.owner = owner
+			next.owners[id] = known.improve(added)
+		}
 	}
 	return next
 }
@@ -83,61 +98,65 @@
 func (m *Map) Owner(leaf Leaf) (tabulator.Member, bool) {
 	known, ok := m.owners[leaf.id]
 	if !ok {
-		known = assigned{leaf: leaf, index: m.best(leaf, func(c candidate) bool { return !c.member.Draining() })}
+		known = m.best(leaf, func(c candidate) bool { return !c.member.Draining() })
 		m.owners[leaf.id] = known
 	}
-	if known.index == nobody {
-		return tabulator.Member{}, false
-	}
-	return m.members[known.index].member, true
+	return known.owner.member, known.found
 }
 
 // Former returns the member other than self that most likely owned the leaf before self did.
 func (m *Map) Former(leaf Leaf, self tabulator.MemberID) (tabulator.Member, bool) {
-	index := m.best(leaf, func(c candidate) bool { return c.member.ID() != self })
-	if index == nobody {
-		return tabulator.Member{}, false
-	}
-	return m.members[index].member, true
+	known := m.best(leaf, func(c candidate) bool { return c.member.ID() != self })
+	return known.owner.member, known.found
 }
 
-func (m *Map) best(leaf Leaf, allowed func(candidate) bool) int {
+func (m *Map) best(leaf Leaf, allowed func(candidate) bool) assigned {
+	best := assigned{leaf: leaf}
 	seed := xxhash.Sum64String(string(leaf.id))
-	near, far := nobody, nobody
-	var nearScore, farScore uint64
-	for i, c := range m.members {
-		if !allowed(c) {
-			continue
-		}
-		score := mix(c.seed ^ seed)
-		if c.member.DataCentre() == leaf.dataCentre {
-			if near == nobody || score > nearScore {
-				near, nearScore = i, score
-			}
-			continue
-		}
-		if far == nobody || score > farScore {
-			far, farScore = i, score
+	for _, c := range m.members {
+		if allowed(c) {
+			best.consider(c, seed)
 		}
 	}
-	if near != nobody {
-		return near
+	return best
+}
+
+// improve returns the assignment after more candidates were considered.
+func (a assigned) improve(candidates []candidate) assigned {
+	if len(candidates) == 0 {
+		return a
+	}
+	seed := xxhash.Sum64String(string(a.leaf.id))
+	for _, c := range candidates {
+		a.consider(c, seed)
+	}
+	return a
+}
+
+func (a *assigned) consider(c candidate, leafSeed uint64) {
+	r := rank{near: c.member.DataCentre() == a.leaf.dataCentre, score: mix(c.seed ^ leafSeed)}
+	if a.found && !a.rank.below(r) {
+		return
 	}
-	return far
+	a.owner, a.rank, a.found = c, r, true
 }
 
-func (m *Map) keepsOrder(next *Map) bool {
-	if len(m.members) != len(next.members) {
-		return false
+func (r rank) below(other rank) bool {
+	if r.near != other.near {
+		return other.near
 	}
-	for i, c := range m.members {
-		other := next.members[i].member
-		same := c.member.Instance() == other.Instance() && c.member.Draining() == other.Draining()
-		if !same || c.member.DataCentre() != other.DataCentre() {
-			return false
+	return r.score < other.score
+}
+
+// eligible returns the members that may own leafs.
+func eligible(members []candidate) map[tabulator.MemberID]candidate {
+	found := make(map[tabulator.MemberID]candidate, len(members))
+	for _, c := range members {
+		if !c.member.Draining() {
+			found[c.member.ID()] = c
 		}
 	}
-	return true
+	return found
 }
 
 func mix(x uint64) uint64 {
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -33,11 +33,10 @@
 	Config struct {
 		Self    tabulator.MemberID
 		Run     func(ctx context.Context, request dispatcher.Request) dispatcher.Result
-		Ready   func() bool
+		Unready func() string
 		Pass    Pass
 		Now     func() time.Duration
 		TLS     *tls.Config
-		Handler func(app *fiber.App)
 	}
 
 	// Server answers callers.
@@ -165,8 +164,8 @@
 }
 
 func (s *Server) onReady(c fiber.Ctx) error {
-	if !s.config.Ready() {
-		return fiber.NewError(fiber.StatusServiceUnavailable, "not ready: no lease on the table, or shutting down")
+	if reason := s.config.Unready(); reason != "" {
+		return fiber.NewError(fiber.StatusServiceUnavailable, "not ready: "+reason)
 	}
 	return c.SendString("ready")
 }
--- a/pkg/experimenter/tier.go
+++ b/pkg/experimenter/tier.go
@@ -134,14 +134,17 @@
 
 // WaitReady waits until every running instance is ready.
 func (t *Tier) WaitReady() error {
-	return waitFor(readyTimeout, "every instance is ready", func() bool {
+	unready := ""
+	err := waitFor(readyTimeout, "every instance is ready", func() bool {
+		unready = ""
 		for i := range t.settings {
 			if instance := t.Instance(i); instance != nil && !instance.Ready() {
-				return false
+				unready += " " + instance.ID().Instance + ": " + instance.Unready()
 			}
 		}
-		return true
+		return unready == ""
 	})
+	return errors.Wrap(err, unready)
 }
 
 // WaitOwned waits until the owners hold the wanted number of leafs together.
--- a/pkg/leaf/client.go
+++ b/pkg/leaf/client.go
@@ -88,6 +88,7 @@
 		return exchange, err
 	}
 	if exchange.response.ID != request.ID {
+		c.pool.dropIdle()
 		return exchange, c.fault(StepCheck, errors.Errorf("response %q to request %q", exchange.response.ID, request.ID))
 	}
 	return exchange, nil
--- a/pkg/runner/instance.go
+++ b/pkg/runner/instance.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
@@ -140,8 +141,19 @@
 func (i *Instance) ID() tabulator.MemberID { return i.self }
 
 // Ready tells whether the instance takes queries.
-func (i *Instance) Ready() bool {
-	return !i.draining.Load() && i.client.LeaseHeld(i.now()) && !i.transport.CutOff()
+func (i *Instance) Ready() bool { return i.Unready() == "" }
+
+// Unready returns why the instance takes no queries, or nothing when it does.
+func (i *Instance) Unready() string {
+	switch {
+	case i.draining.Load():
+		return dispatcher.ReasonShuttingDown
+	case !i.client.LeaseHeld(i.now()):
+		return dispatcher.ReasonNotReady
+	case i.transport.CutOff():
+		return dispatcher.ReasonCutOff
+	}
+	return ""
 }
 
 // Owned returns how many leafs the instance owns.
@@ -208,8 +220,10 @@
 
 func (i *Instance) now() time.Duration { return time.Since(i.epoch) }
 
+// random returns a source for one part of the instance. Instances with one seed differ by their names, or their
+// elections would time out together for ever.
 func (i *Instance) random(part uint64) *rand.Rand {
-	return rand.New(rand.NewPCG(i.options.seed, part))
+	return rand.New(rand.NewPCG(i.options.seed^xxhash.Sum64String(i.self.Instance), part))
 }
 
 func (i *Instance) start() error {
@@ -320,7 +334,7 @@
 		return errors.Wrap(err, "start: listen/caller")
 	}
 	i.callers = caller.New(caller.Config{
-		Self: i.self, Run: i.dispatcher.Run, Ready: i.Ready, Pass: i.passTicket, Now: i.now, TLS: tlsConfig,
+		Self: i.self, Run: i.dispatcher.Run, Unready: i.Unready, Pass: i.passTicket, Now: i.now, TLS: tlsConfig,
 	})
 	i.callers.Serve(listener)
 	return nil
