Turn to another replica at once when a leaf cannot be sent to

Cause: a resting leaf refused with 'deadline-too-near', which counted as overload and spent the retry budget, so losing two of three replicas failed most queries although every shard had a live one. The outcome said 'deadline' for shards that were merely no longer awaited, which hid this. Change: a resting leaf says so; a refusal that reached no leaf spends no budget; such leafs are asked last for 100 ms to 1 s; a shard that was not awaited says so, and the reason of an answer is that of the first shard given up; thresholds follow the mean wait; the latency of requests that were given up counts, and fades. Dialling holds no mutex, which hung the controller tests under a fake clock.

--- a/pkg/admitter/leaf.go
+++ b/pkg/admitter/leaf.go
@@ -17,6 +17,8 @@
 	RefusedQueueFull Refusal = "queue-full"
 	// RefusedTooLate means that the item could not be answered before its deadline.
 	RefusedTooLate Refusal = "deadline-too-near"
+	// RefusedResting means that the leaf is left alone after it refused or broke off.
+	RefusedResting Refusal = "leaf-resting"
 	// RefusedPriority means that the overload threshold is above the priority of the item.
 	RefusedPriority Refusal = "overloaded"
 	// RefusedCold means that a hedge was meant for a leaf that is cold or resting.
@@ -27,9 +29,10 @@
 
 const (
 	queuePerSlot      = 32
-	thresholdWindow   = 50 * time.Millisecond
+	thresholdWindow   = 100 * time.Millisecond
 	thresholdUp       = 0.05
-	thresholdDown     = 0.01
+	thresholdDown     = 0.02
+	refusedCountsAs   = 2
 	thresholdHighest  = 0.95
 	waitTargetDivisor = 4
 	waitTargetLowest  = 5 * time.Millisecond
@@ -263,6 +266,9 @@
 	if item.Hedge {
 		return l.judgeHedge(now)
 	}
+	if l.warmUp.resting(now) {
+		return RefusedResting
+	}
 	if l.queue.length >= queuePerSlot*l.slots {
 		return RefusedQueueFull
 	}
@@ -287,11 +293,7 @@
 
 func (l *Leaf) expectedWait(caller string, now time.Duration) time.Duration {
 	ahead := l.queue.ahead(caller) + l.busy(now) - l.limit() + 1
-	wait := max(0, l.warmUp.restUntil-now)
-	if ahead > 0 {
-		wait += time.Duration(ahead) * l.warmUp.baseline / time.Duration(l.limit())
-	}
-	return wait
+	return time.Duration(max(0, ahead)) * l.warmUp.baseline / time.Duration(l.limit())
 }
 
 // checkRunning takes requests that run far longer than usual as evidence of a cold leaf.
@@ -341,8 +343,9 @@
 	if now < t.windowEnd {
 		return
 	}
-	overloaded := t.refused > 0 || (t.dispatched > 0 && t.waits/time.Duration(t.dispatched) > target)
-	if overloaded {
+	waits := t.waits + time.Duration(refusedCountsAs*t.refused)*target
+	items := max(1, t.dispatched+t.refused)
+	if waits/time.Duration(items) > target {
 		t.value = min(thresholdHighest, t.value+thresholdUp)
 	} else {
 		t.value = max(0, t.value-thresholdDown)
--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -6,6 +6,7 @@
 package chooser
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -22,7 +23,10 @@
 	restPenalty       = 200 * time.Millisecond
 	reportLifetime    = 2 * time.Second
 	draws             = 2
-	unavailableFor    = 100 * time.Millisecond
+	latencyHalfLife   = 2 * time.Second
+	unavailableFirst  = 100 * time.Millisecond
+	// unavailableLongest is short enough for a leaf that is back to be found soon.
+	unavailableLongest = time.Second
 )
 
 type (
@@ -72,9 +76,11 @@
 		reportedAt   time.Duration
 		outstanding  int
 		latency      time.Duration
+		measuredAt   time.Duration
 		faults       int
 		ejection     time.Duration
 		ejectedUntil time.Duration
+		away         time.Duration
 		awayUntil    time.Duration
 	}
 )
@@ -136,15 +142,28 @@
 }
 
 // OnAnswer takes the time from sending to the answer.
-func (c *Chooser) OnAnswer(leaf assigner.LeafID, latency time.Duration) {
+func (c *Chooser) OnAnswer(leaf assigner.LeafID, latency, now time.Duration) {
 	r := c.record(leaf)
 	r.faults = 0
 	r.ejection = 0
+	r.away = 0
 	if r.latency == 0 {
 		r.latency = latency
-		return
 	}
+	r.latency = r.latencyAt(now)
 	r.latency += time.Duration(latencyGain * float64(latency-r.latency))
+	r.measuredAt = now
+}
+
+// OnLate takes the time that a request has had no answer when it was given up.
+func (c *Chooser) OnLate(leaf assigner.LeafID, waited, now time.Duration) {
+	r := c.record(leaf)
+	latency := r.latencyAt(now)
+	if waited <= latency {
+		return
+	}
+	r.latency = latency + time.Duration(latencyGain*float64(waited-latency))
+	r.measuredAt = now
 }
 
 // OnFault counts an error of the leaf and ejects it after several in a row.
@@ -159,9 +178,14 @@
 	r.faults = 0
 }
 
-// OnUnavailable notes that the leaf has no owner that may send to it; it is asked last for a moment.
+// OnUnavailable notes that nothing can be sent to the leaf; it is asked last for a while that doubles each time.
 func (c *Chooser) OnUnavailable(leaf assigner.LeafID, now time.Duration) {
-	c.record(leaf).awayUntil = now + unavailableFor
+	r := c.record(leaf)
+	if now < r.awayUntil {
+		return
+	}
+	r.away = min(unavailableLongest, max(unavailableFirst, 2*r.away))
+	r.awayUntil = now + r.away
 }
 
 // Threshold returns the overload threshold that the owner of the leaf last reported.
@@ -188,6 +212,12 @@
 	return r
 }
 
+// latencyAt returns the measured latency, which fades, so that a leaf that was slow is tried again.
+func (r *record) latencyAt(now time.Duration) time.Duration {
+	halvings := float64(now-r.measuredAt) / float64(latencyHalfLife)
+	return time.Duration(float64(r.latency) * math.Exp2(-halvings))
+}
+
 // withoutEjected leaves out ejected leafs, but never more than the allowed share of the candidates.
 func (c *Chooser) withoutEjected(candidates []Candidate, now time.Duration) []int {
 	var kept, ejected, away []int
@@ -256,7 +286,7 @@
 		ahead = max(ahead, float64(r.report.Running+r.report.Queued))
 	}
 	wait := max(0, ahead+1-r.report.Limit) / max(1, r.report.Limit) * float64(service)
-	score := float64(max(service, r.latency)) + wait
+	score := float64(max(service, r.latencyAt(now))) + wait
 	if r.report.Resting && now-r.reportedAt < restPenalty {
 		score += float64(restPenalty)
 	}
--- a/pkg/controller/peer.go
+++ b/pkg/controller/peer.go
@@ -25,12 +25,12 @@
 	mu       sync.Mutex
 	client   *rpc.Client
 	failedAt time.Time
-	dialing  sync.Mutex
+	dialing  chan struct{}
 	closed   bool
 }
 
 func newPeer(l *linker.Linker, address string) *peer {
-	return &peer{linker: l, address: address}
+	return &peer{linker: l, address: address, dialing: make(chan struct{}, 1)}
 }
 
 // call makes one call and drops the connection when it fails for other reasons than the peer's own word.
@@ -56,8 +56,8 @@
 }
 
 func (p *peer) connect() (*rpc.Client, error) {
-	p.dialing.Lock()
-	defer p.dialing.Unlock()
+	p.dialing <- struct{}{}
+	defer func() { <-p.dialing }()
 	p.mu.Lock()
 	client, failedAt, closed := p.client, p.failedAt, p.closed
 	p.mu.Unlock()
--- a/pkg/coordinator/query.go
+++ b/pkg/coordinator/query.go
@@ -19,6 +19,8 @@
 	ReasonNoReplica = "no-replica"
 	// ReasonDeadline says that the deadline came first.
 	ReasonDeadline = "deadline"
+	// ReasonNotAwaited says that the query ended before the shard did, since its minimum coverage was out of reach.
+	ReasonNotAwaited = "not-awaited"
 	// ReasonVersionGone says that no replica holds the pinned version any longer.
 	ReasonVersionGone = "version-gone"
 	// ReasonMayHaveRun says that the request may have run and must not be sent again.
@@ -356,7 +358,7 @@
 	}
 	q.note(hit.Attempt, now, "answered", hit.Timing)
 	latency := now - q.records[q.recordOf[hit.Attempt]].Sent
-	q.tools.Chooser.OnAnswer(leaf, latency)
+	q.tools.Chooser.OnAnswer(leaf, latency, now)
 	q.tools.Quantile.Add(latency)
 	if shard.answered {
 		return nil
@@ -391,7 +393,7 @@
 		q.giveUp(shard, ReasonVersionGone)
 		return nil
 	}
-	return q.askAgain(index, reply.Overload, now)
+	return q.askAgain(index, reply.Overload, reply.Overload, now)
 }
 
 func (q *Query) onUnknown(index int, reason string, now time.Duration) []Action {
@@ -404,13 +406,14 @@
 		q.giveUp(shard, ReasonMayHaveRun)
 		return nil
 	}
-	return q.askAgain(index, false, now)
+	return q.askAgain(index, false, true, now)
 }
 
-// askAgain asks another replica at once, or the same ones after a pause.
-func (q *Query) askAgain(index int, overload bool, now time.Duration) []Action {
+// askAgain asks another replica at once, or the same ones after a pause. The budget covers what a leaf may receive
+// on top; a request that reached no leaf costs the leafs nothing.
+func (q *Query) askAgain(index int, overload, reachedLeaf bool, now time.Duration) []Action {
 	shard := &q.shards[index]
-	if shard.attempts >= maxAttemptsPerShard || !q.tools.Budget.TakeRetry() {
+	if shard.attempts >= maxAttemptsPerShard || (reachedLeaf && !q.tools.Budget.TakeRetry()) {
 		q.giveUp(shard, shard.reason)
 		return nil
 	}
@@ -501,16 +504,16 @@
 		Version: q.plan.Version, Answered: q.answered, Total: len(q.shards), Attempts: q.records, Restarts: q.restarts,
 	}
 	for i := range q.shards {
-		q.fill(&answer, i)
+		q.fill(&answer, i, now >= q.limits.Deadline-answerMargin)
 	}
 	answer.Outcome = q.outcome(answer, outstanding)
-	if answer.Outcome != OutcomeComplete && len(answer.Missing) > 0 {
-		answer.Reason = answer.Missing[0].Reason
+	if answer.Outcome != OutcomeComplete {
+		answer.Reason = mainReason(answer.Missing)
 	}
 	return append(actions, Finish{Answer: answer})
 }
 
-func (q *Query) fill(answer *Answer, index int) {
+func (q *Query) fill(answer *Answer, index int, atDeadline bool) {
 	shard := &q.shards[index]
 	name := q.plan.Shards[index].Shard
 	if shard.answered {
@@ -519,11 +522,24 @@
 	}
 	reason := shard.reason
 	if !shard.givenUp || reason == "" {
-		reason = ReasonDeadline
+		reason = ReasonNotAwaited
+		if atDeadline {
+			reason = ReasonDeadline
+		}
 	}
 	answer.Missing = append(answer.Missing, MissingShard{Shard: name, Reason: reason})
 }
 
+// mainReason returns the reason of the first shard that was given up, else that of the first missing one.
+func mainReason(missing []MissingShard) string {
+	for _, m := range missing {
+		if m.Reason != ReasonNotAwaited {
+			return m.Reason
+		}
+	}
+	return ReasonNotAwaited
+}
+
 func (q *Query) outcome(answer Answer, outstanding int) Outcome {
 	if answer.Total > 0 && answer.Answered == answer.Total {
 		return OutcomeComplete
@@ -558,6 +574,7 @@
 	for id, leaf := range shard.live {
 		q.mayRun = true
 		q.tools.Chooser.OnEnded(leaf)
+		q.tools.Chooser.OnLate(leaf, now-q.records[q.recordOf[id]].Sent, now)
 		q.note(id, now, "cancelled", Timing{})
 		actions = append(actions, Cancel{Attempt: id, Leaf: leaf})
 	}
--- a/pkg/demonstrator/demo.go
+++ b/pkg/demonstrator/demo.go
@@ -11,7 +11,6 @@
 
 	"lovagedeck/pkg/emulator"
 	"lovagedeck/pkg/experimenter"
-	"lovagedeck/pkg/operator"
 	"lovagedeck/pkg/tabulator"
 	"lovagedeck/pkg/tracer"
 )
@@ -227,23 +226,13 @@
 	r.ExtraLoad = float64(after.Received-before.Received) / float64(max(1, tally.Needed()))
 	r.Violations, r.Examples = judge.Finish()
 	r.Slowest, _ = tally.Slowest()
-	if trace, ok := d.findTrace(r.Slowest); ok {
+	if trace, ok := d.tier.FindTrace(r.Slowest); ok {
 		r.Explanation = tracer.Explain(trace)
 		r.Tree = tracer.Tree(trace)
 	}
 	r.EndedInTime = time.Since(d.begun) < time.Minute
 }
 
-func (d *demo) findTrace(id string) (tracer.Trace, bool) {
-	for i := range d.tier.Size() {
-		trace, err := operator.NewClient(d.tier.Settings(i).Listen.Operator).Trace(id)
-		if err == nil {
-			return trace, true
-		}
-	}
-	return tracer.Trace{}, false
-}
-
 func (d *demo) say(format string, args ...any) {
 	line := fmt.Sprintf("%5.1f s  ", time.Since(d.begun).Seconds()) + fmt.Sprintf(format, args...)
 	d.result.Steps = append(d.result.Steps, line)
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -393,7 +393,7 @@
 		return
 	}
 	delete(d.running, reply.ID)
-	if reply.Kind == fellow.KindNotRun && !reply.Condition.Known {
+	if isUnavailable(reply) {
 		d.chooser.OnUnavailable(leaf, now)
 	}
 	d.carryOut(c, c.query.OnReply(toReply(reply), now))
@@ -559,6 +559,14 @@
 	}
 }
 
+// isUnavailable tells whether a reply says that nothing can be sent to the leaf for a while.
+func isUnavailable(reply fellow.Reply) bool {
+	if reply.Kind != fellow.KindNotRun {
+		return false
+	}
+	return !reply.Condition.Known || reply.Condition.Resting
+}
+
 // priorityOf spreads queries evenly over 0 to 1, the same at every leaf.
 func priorityOf(id string) float64 {
 	return float64(xxhash.Sum64String(id)>>(64-priorityBits)) / (1 << priorityBits)
--- a/pkg/experimenter/tier.go
+++ b/pkg/experimenter/tier.go
@@ -16,6 +16,7 @@
 	"lovagedeck/pkg/operator"
 	"lovagedeck/pkg/runner"
 	"lovagedeck/pkg/tabulator"
+	"lovagedeck/pkg/tracer"
 )
 
 const (
@@ -170,6 +171,18 @@
 	return operator.NewClient(t.settings[0].Listen.Operator)
 }
 
+// FindTrace asks every running instance for a kept query.
+func (t *Tier) FindTrace(id string) (tracer.Trace, bool) {
+	for i := range t.settings {
+		if instance := t.Instance(i); instance != nil {
+			if trace, ok := instance.Trace(id); ok {
+				return trace, true
+			}
+		}
+	}
+	return tracer.Trace{}, false
+}
+
 // Ready returns the running instances that are ready, as the balancer in front of them would see.
 func (t *Tier) Ready() []int {
 	var ready []int
--- a/pkg/fellow/link.go
+++ b/pkg/fellow/link.go
@@ -42,7 +42,7 @@
 		target  string
 		lost    Lost
 
-		dialing  sync.Mutex
+		dialing  chan struct{}
 		mu       sync.Mutex
 		wake     *sync.Cond
 		asks     []Ask
@@ -72,7 +72,7 @@
 
 func newLink(l *linker.Linker, self tabulator.MemberID, address string, peer tabulator.MemberID, target string, lost Lost) *Link {
 	link := &Link{
-		linker: l, self: self, address: address, peer: peer, target: target, lost: lost,
+		linker: l, self: self, address: address, peer: peer, target: target, lost: lost, dialing: make(chan struct{}, 1),
 		// Sequence numbers go on from the clock, so that a later link of this incarnation uses none of them again.
 		sequence: uint64(time.Now().UnixNano()),
 	}
@@ -281,8 +281,8 @@
 	if client, err := l.connected(); client != nil || err != nil {
 		return client, err
 	}
-	l.dialing.Lock()
-	defer l.dialing.Unlock()
+	l.dialing <- struct{}{}
+	defer func() { <-l.dialing }()
 	if client, err := l.connected(); client != nil || err != nil {
 		return client, err
 	}
--- a/pkg/fellow/wire.go
+++ b/pkg/fellow/wire.go
@@ -32,6 +32,8 @@
 	ReasonUnreachable = "owner-unreachable"
 	// ReasonSilent says that the owner did not take the request in the usual time.
 	ReasonSilent = "owner-silent"
+	// ReasonConnect says that no connection to the leaf could be opened.
+	ReasonConnect = "connect"
 	// ReasonTakenOut says that the row, data centre or leaf takes no new work.
 	ReasonTakenOut = "taken-out"
 	// ReasonUnknownLeaf says that the roster of the owner does not have the leaf.
--- a/pkg/owner/owned_leaf.go
+++ b/pkg/owner/owned_leaf.go
@@ -256,7 +256,7 @@
 	}
 	if fault.NotSent() {
 		reply.Kind = fellow.KindNotRun
-		reply.Reason = "connect"
+		reply.Reason = fellow.ReasonConnect
 		return reply, admitter.Broken{}
 	}
 	reply.Reason = string(fault.Step())
