--- /dev/null
+++ b/pkg/caller/caller_test.go
@@ -0,0 +1,152 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"lovagedeck/pkg/coordinator"
+	"lovagedeck/pkg/dispatcher"
+	"lovagedeck/pkg/tabulator"
+)
+
+type callers struct {
+	server   *Server
+	client   *fasthttp.Client
+	listener *fasthttputil.InmemoryListener
+	mu       sync.Mutex
+	requests []dispatcher.Request
+}
+
+func serve(t *testing.T, pass Pass) *callers {
+	t.Helper()
+	c := &callers{listener: fasthttputil.NewInmemoryListener()}
+	c.server = New(Config{
+		Self: tabulator.MemberID{Instance: "entry-1", Incarnation: 7}, Now: func() time.Duration { return 0 }, Pass: pass,
+		Unready: func() string { return "no-lease" },
+		Run: func(_ context.Context, request dispatcher.Request) dispatcher.Result {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.requests = append(c.requests, request)
+			return dispatcher.Result{ID: request.Text, Answer: coordinator.Answer{Outcome: coordinator.OutcomeComplete}}
+		},
+	})
+	c.server.Serve(c.listener)
+	c.client = &fasthttp.Client{Dial: func(string) (net.Conn, error) { return c.listener.Dial() }}
+	t.Cleanup(func() {
+		c.client.CloseIdleConnections()
+		if err := c.server.Close(time.Second); err != nil {
+			t.Error(err)
+		}
+	})
+	return c
+}
+
+func (c *callers) post(t *testing.T, path, body string) (int, string) {
+	t.Helper()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://entry" + path)
+	request.Header.SetMethod("POST")
+	request.SetBodyString(body)
+	if err := c.client.Do(request, response); err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode(), string(response.Body())
+}
+
+func TestBadBodies(t *testing.T) {
+	c := serve(t, nil)
+	tests := []struct {
+		name   string
+		body   string
+		status int
+	}{
+		{"no JSON", "{", 400},
+		{"no service", `{"services":[]}`, 400},
+		{"deadline in the past", `{"services":["s"],"deadline-ms":0}`, 400},
+		{"coverage out of range", `{"services":["s"],"min-coverage":1.5}`, 400},
+		{"text too long", `{"services":["s"],"text":"` + strings.Repeat("x", maxText+1) + `"}`, 400},
+		{"bad ticket", `{"services":["s"],"ticket":"x"}`, 400},
+	}
+	for _, test := range tests {
+		if status, body := c.post(t, "/query", test.body); status != test.status {
+			t.Errorf("%s: status %d, want %d: %s", test.name, status, test.status, body)
+		}
+	}
+	if len(c.requests) != 0 {
+		t.Errorf("%d bad queries were run", len(c.requests))
+	}
+}
+
+func TestNothingOfARecycledBodyIsKept(t *testing.T) {
+	c := serve(t, nil)
+	texts := []string{"aaaa", "bbbb", "cccc", "dddd"}
+	for _, text := range texts {
+		c.post(t, "/query", `{"caller":"`+text+`","services":["`+text+`"],"text":"`+text+`"}`)
+	}
+	for i, text := range texts {
+		request := c.requests[i]
+		if request.Text != text || request.Caller != text || request.Services[0] != text {
+			t.Errorf("request %d has become %+v", i, request)
+		}
+	}
+}
+
+func TestTicketRunsOnce(t *testing.T) {
+	c := serve(t, nil)
+	_, body := c.post(t, "/ticket", "")
+	ticket := strings.Split(body, `"`)[3]
+	for range 3 {
+		if status, answer := c.post(t, "/query", `{"services":["s"],"ticket":"`+ticket+`"}`); status != 200 {
+			t.Fatalf("status %d: %s", status, answer)
+		}
+	}
+	if len(c.requests) != 1 {
+		t.Fatalf("run %d times", len(c.requests))
+	}
+}
+
+func TestTicketOfAnIncarnationThatIsGone(t *testing.T) {
+	c := serve(t, func(tabulator.MemberID, string, []byte) ([]byte, error) { return nil, errors.New("gone") })
+	status, body := c.post(t, "/query", `{"services":["s"],"ticket":"entry-2.9.1.1"}`)
+	if status != 502 || !strings.Contains(body, string(coordinator.OutcomeFailed)) {
+		t.Fatalf("status %d: %s", status, body)
+	}
+	if len(c.requests) != 0 {
+		t.Fatal("it was run here")
+	}
+}
+
+func TestUnreadySaysWhy(t *testing.T) {
+	c := serve(t, nil)
+	status, body, err := c.client.Get(nil, "http://entry/ready")
+	if err != nil || status != 503 || !strings.Contains(string(body), "no-lease") {
+		t.Fatalf("status %d: %s, %v", status, body, err)
+	}
+}
+
+func TestBodyTooLargeIsNotRun(t *testing.T) {
+	c := serve(t, nil)
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://entry/query")
+	request.Header.SetMethod("POST")
+	request.SetBodyString(strings.Repeat("x", maxBody+1))
+	// The server may close the connection before it has read the body.
+	if err := c.client.Do(request, response); err == nil && response.StatusCode() != 413 {
+		t.Fatalf("status %d", response.StatusCode())
+	}
+	if len(c.requests) != 0 {
+		t.Fatal("it was run")
+	}
+}
--- a/pkg/commander/change.go
+++ b/pkg/commander/change.go
@@ -24,7 +24,7 @@
 func changeFlags() []cli.Flag {
 	return append(instanceFlags(),
 		&cli.StringFlag{Name: "change-id", Usage: "send again the change with this `ID`, whose answer was lost"},
-		&cli.StringFlag{Name: "operator", Value: os.Getenv("USER"), Usage: "`NAME` that the history shows"},
+		&cli.StringFlag{Name: "operator", Value: defaultOperatorName(), Usage: "`NAME` that the history shows"},
 		&cli.BoolFlag{Name: "no-wait", Usage: "do not wait until the change is in force"})
 }
 
@@ -38,6 +38,10 @@
 		}
 	}
 	change, err := trySeveralTimes(id, command.String("operator"), try)
+	var refusal *operator.APIError
+	if errors.As(err, &refusal) {
+		return errors.Wrap(err, "refused, nothing was changed")
+	}
 	if err != nil {
 		return errors.Wrapf(err, "the outcome of change %s is unknown; send it again with --change-id %s", id, id)
 	}
@@ -117,3 +121,10 @@
 	}
 	return hex.EncodeToString(raw[:]), nil
 }
+
+func defaultOperatorName() string {
+	if name := os.Getenv("USER"); name != "" {
+		return name
+	}
+	return "unnamed"
+}
--- a/pkg/controller/service.go
+++ b/pkg/controller/service.go
@@ -92,7 +92,9 @@
 		defer done()
 		reply.Status = s.server.core.Status()
 		reply.Revision = s.server.machine.Revision()
-		reply.Sessions = len(s.server.sessions.counts(s.server.config.Now()))
+		for _, count := range s.server.sessions.counts(s.server.config.Now()) {
+			reply.Sessions += count
+		}
 		if s.server.failed != nil {
 			reply.Failed = s.server.failed.Error()
 		}
