--- a/pkg/controller/server.go
+++ b/pkg/controller/server.go
@@ -131,7 +131,7 @@
 			input()
 		case <-ticker.C:
 			s.step(replicator.Tick{})
-			s.sessions.tick(s)
+			s.sessions.tickIfDue(s)
 		}
 		s.drainInputs()
 		s.flushAll()
--- a/pkg/controller/sessions.go
+++ b/pkg/controller/sessions.go
@@ -12,7 +12,10 @@
 	"lovagedeck/pkg/tabulator"
 )
 
-const keptTableChanges = 1024
+const (
+	keptTableChanges = 1024
+	sessionInterval  = 200 * time.Millisecond
+)
 
 type (
 	sessions struct {
@@ -25,6 +28,7 @@
 		changedAt   map[uint64]time.Duration
 		changes     []uint64
 		removing    map[tabulator.MemberID]time.Duration
+		nextTick    time.Duration
 	}
 
 	session struct {
@@ -85,10 +89,20 @@
 	return counts
 }
 
+// tickIfDue looks at the leases a few times a second, since the look costs time for each member.
+func (s *sessions) tickIfDue(server *Server) {
+	now := server.config.Now()
+	if now < s.nextTick {
+		return
+	}
+	s.nextTick = now + sessionInterval
+	s.tick(server)
+}
+
 // tick proposes the removal of members whose lease has surely run out.
 func (s *sessions) tick(server *Server) {
 	now := server.config.Now()
-	for _, member := range server.machine.Members() {
+	for _, member := range server.machine.MembersUnordered() {
 		id := tabulator.MemberID{Instance: member.Instance, Incarnation: member.Incarnation}
 		if !s.hasRunOut(id, member.Via, now) || now < s.removing[id] {
 			continue
@@ -120,7 +134,7 @@
 
 // inForce counts the sessions that act on the revision.
 func (s *sessions) inForce(machine *tabulator.Machine, revision uint64, now time.Duration) InForceReply {
-	reply := InForceReply{Members: len(machine.Members())}
+	reply := InForceReply{Members: len(machine.MembersUnordered())}
 	for have, count := range s.counts(now) {
 		if have >= revision {
 			reply.Acting += count
--- a/pkg/tabulator/machine.go
+++ b/pkg/tabulator/machine.go
@@ -108,6 +108,9 @@
 	return members
 }
 
+// MembersUnordered returns the members in no order, which costs less than Members.
+func (m *Machine) MembersUnordered() map[string]MemberFields { return m.body.Members }
+
 // Member returns the member with the given instance name.
 func (m *Machine) Member(instance string) (MemberFields, bool) {
 	member, ok := m.body.Members[instance]
