Test the owner of leafs, and keep the slot of a request without an answer

A guard broken on purpose (a request that may have run is not sent again unless it is idempotent) left all tests green. The emulated leaf's own times follow the slow motion.

--- a/pkg/admitter/leaf.go
+++ b/pkg/admitter/leaf.go
@@ -36,7 +36,7 @@
 	thresholdHighest  = 0.95
 	waitTargetDivisor = 4
 	waitTargetLowest  = 5 * time.Millisecond
-	lateGrace         = 20 * time.Millisecond
+	lateGrace         = 250 * time.Millisecond
 )
 
 type (
@@ -224,12 +224,18 @@
 		l.warmUp.fall(now, "shed")
 	case Broken:
 		l.warmUp.fall(now, "connection broken")
+		l.mayStillRun(request)
 	case Abandoned:
 		l.warmUp.close(now, "no answer")
-		l.phantoms = append(l.phantoms, request.item.Deadline+lateGrace)
+		l.mayStillRun(request)
 	}
 }
 
+// mayStillRun keeps the slot of a request without an answer until the leaf must have given it up.
+func (l *Leaf) mayStillRun(request running) {
+	l.phantoms = append(l.phantoms, request.item.Deadline+lateGrace)
+}
+
 // OnRestart records that the leaf has started again.
 func (l *Leaf) OnRestart(now time.Duration) { l.warmUp.close(now, "restarted") }
 
--- a/pkg/admitter/leaf_test.go
+++ b/pkg/admitter/leaf_test.go
@@ -112,17 +112,20 @@
 	}
 }
 
-func TestAbandonedRequestKeepsItsSlot(t *testing.T) {
-	leaf := New(1, 0)
-	leaf.Offer(Item{ID: 1, Deadline: 50 * ms, Priority: 1}, 0)
-	leaf.Next(0)
-	leaf.Done(1, Abandoned{}, 50*ms)
-	leaf.Offer(item(2, "c"), 50*ms)
-	if _, _, ok := leaf.Next(51 * ms); ok {
-		t.Fatal("the slot was given away while the leaf may still run the request")
-	}
-	if _, _, ok := leaf.Next(50*ms + lateGrace + 1); !ok {
-		t.Fatal("the slot was never given back")
+func TestRequestWithoutAnswerKeepsItsSlot(t *testing.T) {
+	for _, outcome := range []Outcome{Abandoned{}, Broken{}} {
+		leaf := New(1, 0)
+		leaf.Offer(Item{ID: 1, Deadline: 200 * ms, Priority: 1}, 0)
+		leaf.Next(0)
+		leaf.Done(1, outcome, ms)
+		rested := ms + restFirst
+		leaf.Offer(item(2, "c"), rested)
+		if _, _, ok := leaf.Next(rested); ok {
+			t.Fatalf("%T: the slot was given away while the leaf may still run the request", outcome)
+		}
+		if _, _, ok := leaf.Next(200*ms + lateGrace + 1); !ok {
+			t.Fatalf("%T: the slot was never given back", outcome)
+		}
 	}
 }
 
--- a/pkg/coordinator/query_test.go
+++ b/pkg/coordinator/query_test.go
@@ -294,3 +294,14 @@
 		}
 	}
 }
+
+func TestRequestThatMayHaveRunIsSentAgainOnlyWhereIdempotent(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		s := newScene(t, plan(2, "a", "b"), Limits{Idempotent: idempotent})
+		sent := s.nextID
+		s.unknown(0, 1)
+		if again := s.nextID > sent; again != idempotent {
+			t.Errorf("idempotent %t: sent again %t", idempotent, again)
+		}
+	}
+}
--- a/pkg/emulator/leaf.go
+++ b/pkg/emulator/leaf.go
@@ -40,6 +40,8 @@
 		SetUp       time.Duration
 		Work        time.Duration
 		Distance    time.Duration
+		// Pace multiplies the times that the leaf itself keeps; 0 counts as 1.
+		Pace float64
 	}
 
 	// Leaf is one emulated leaf.
@@ -72,6 +74,13 @@
 	}
 }
 
+func (s LeafSpec) pace() float64 {
+	if s.Pace == 0 {
+		return 1
+	}
+	return s.Pace
+}
+
 // Spec returns the description of the leaf.
 func (l *Leaf) Spec() LeafSpec { return l.spec }
 
@@ -243,14 +252,14 @@
 	switch {
 	case l.leaving:
 		return nil, leaf.ReasonLeaving
-	case now.Sub(l.fallen) < fallRecovery:
+	case now.Sub(l.fallen) < times(fallRecovery, l.spec.pace()):
 		l.fallen = now
 		return nil, leaf.ReasonShed
 	case !l.holds(request):
 		return nil, leaf.ReasonVersionGone
 	}
 	if l.cold > 0 && len(l.running) >= coldBears {
-		if !l.coldSeen.IsZero() && now.Sub(l.coldSeen) > evidenceTolerance {
+		if !l.coldSeen.IsZero() && now.Sub(l.coldSeen) > times(evidenceTolerance, l.spec.pace()) {
 			l.fleet.breach(BreachCold, l.spec.ID)
 		}
 		l.fallen = now
--- a/pkg/emulator/shapes.go
+++ b/pkg/emulator/shapes.go
@@ -39,6 +39,7 @@
 		DataCentres []string
 		Distance    time.Duration
 		Families    []Family
+		Pace        float64
 	}
 )
 
@@ -144,7 +145,7 @@
 		for shard := range family.Leafs {
 			leafs = append(leafs, LeafSpec{
 				ID: fmt.Sprintf("%s-%s-%d", service, dataCentre, shard), Service: service, DataCentre: dataCentre,
-				Index: s.Name, Distance: s.Distance, Shard: shard, Shards: family.Leafs, Slots: family.Slots, Connections: family.Connections,
+				Index: s.Name, Distance: s.Distance, Pace: s.Pace, Shard: shard, Shards: family.Leafs, Slots: family.Slots, Connections: family.Connections,
 				SetUp: family.SetUp, Work: family.Work,
 			})
 		}
--- a/pkg/emulator/slow_motion.go
+++ b/pkg/emulator/slow_motion.go
@@ -6,6 +6,7 @@
 func (s Shape) SlowMotion(factor float64) Shape {
 	slow := s
 	slow.Distance = times(s.Distance, factor)
+	slow.Pace = factor
 	slow.Families = make([]Family, len(s.Families))
 	for i, family := range s.Families {
 		family.SetUp = times(family.SetUp, factor)
