--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -4,15 +4,14 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"net"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 
+	"lovagedeck/pkg/acceptor"
 	"lovagedeck/pkg/coordinator"
 	"lovagedeck/pkg/dispatcher"
 	"lovagedeck/pkg/tabulator"
@@ -41,9 +40,8 @@
 
 	// Server answers callers.
 	Server struct {
+		*acceptor.Acceptor
 		config  Config
-		app     *fiber.App
-		group   conc.WaitGroup
 		mu      sync.Mutex
 		tickets *ticketer.Ticketer
 	}
@@ -52,33 +50,17 @@
 // New returns a server; Serve starts it.
 func New(config Config) *Server {
 	server := &Server{config: config, tickets: ticketer.New(config.Self)}
-	server.app = fiber.New(fiber.Config{
+	app := fiber.New(fiber.Config{
 		BodyLimit: maxBody, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, ErrorHandler: answerError,
 	})
-	server.app.Post("/query", server.onQuery)
-	server.app.Post("/ticket", server.onTicket)
-	server.app.Get("/ready", server.onReady)
-	server.app.Get("/health", func(c fiber.Ctx) error { return c.SendString("ok") })
+	app.Post("/query", server.onQuery)
+	app.Post("/ticket", server.onTicket)
+	app.Get("/ready", server.onReady)
+	app.Get("/health", func(c fiber.Ctx) error { return c.SendString("ok") })
+	server.Acceptor = acceptor.New(app, config.TLS)
 	return server
 }
 
-// Serve answers on listener until Close.
-func (s *Server) Serve(listener net.Listener) {
-	if s.config.TLS != nil {
-		listener = tls.NewListener(listener, s.config.TLS)
-	}
-	s.group.Go(func() {
-		_ = s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
-	})
-}
-
-// Close answers what is under way and stops.
-func (s *Server) Close(timeout time.Duration) error {
-	err := s.app.ShutdownWithTimeout(timeout)
-	s.group.Wait()
-	return errors.Wrap(err, "close the caller server")
-}
-
 // RunTicket runs a request whose ticket this incarnation granted, or returns its first outcome.
 func (s *Server) RunTicket(ticket string, body []byte) ([]byte, error) {
 	query, err := Decode(body)
--- a/pkg/commander/flags.go
+++ b/pkg/commander/flags.go
@@ -54,6 +54,16 @@
 	return operator.NewClient(command.String("instance"), options...), nil
 }
 
+// operatorCall returns what every verb needs that asks instances and prints data.
+func operatorCall(command *cli.Command) (*operator.Client, printer.Format, error) {
+	format, err := outputFormat(command)
+	if err != nil {
+		return nil, format, err
+	}
+	client, err := operatorClient(command)
+	return client, format, err
+}
+
 func clientTLS(command *cli.Command) (*tls.Config, error) {
 	path := command.String("tls-authority")
 	if path == "" {
--- a/pkg/commander/verb_control.go
+++ b/pkg/commander/verb_control.go
@@ -41,11 +41,7 @@
 }
 
 func runControlStatus(_ context.Context, command *cli.Command) error {
-	format, err := outputFormat(command)
-	if err != nil {
-		return err
-	}
-	client, err := operatorClient(command)
+	client, format, err := operatorCall(command)
 	if err != nil {
 		return err
 	}
--- a/pkg/commander/verb_status.go
+++ b/pkg/commander/verb_status.go
@@ -22,11 +22,7 @@
 }
 
 func runStatus(_ context.Context, command *cli.Command) error {
-	format, err := outputFormat(command)
-	if err != nil {
-		return err
-	}
-	client, err := operatorClient(command)
+	client, format, err := operatorCall(command)
 	if err != nil {
 		return err
 	}
--- a/pkg/commander/verb_table.go
+++ b/pkg/commander/verb_table.go
@@ -43,11 +43,7 @@
 }
 
 func runTableGet(_ context.Context, command *cli.Command) error {
-	format, err := outputFormat(command)
-	if err != nil {
-		return err
-	}
-	client, err := operatorClient(command)
+	client, format, err := operatorCall(command)
 	if err != nil {
 		return err
 	}
@@ -221,11 +217,7 @@
 }
 
 func runTableHistory(_ context.Context, command *cli.Command) error {
-	format, err := outputFormat(command)
-	if err != nil {
-		return err
-	}
-	client, err := operatorClient(command)
+	client, format, err := operatorCall(command)
 	if err != nil {
 		return err
 	}
--- a/pkg/commander/verb_timeline.go
+++ b/pkg/commander/verb_timeline.go
@@ -24,11 +24,7 @@
 }
 
 func runTimeline(_ context.Context, command *cli.Command) error {
-	format, err := outputFormat(command)
-	if err != nil {
-		return err
-	}
-	client, err := operatorClient(command)
+	client, format, err := operatorCall(command)
 	if err != nil {
 		return err
 	}
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
-	"net"
 	"net/url"
 	"strconv"
 	"strings"
@@ -15,8 +14,8 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 
+	"lovagedeck/pkg/acceptor"
 	"lovagedeck/pkg/controller"
 	"lovagedeck/pkg/replicator"
 	"lovagedeck/pkg/tabulator"
@@ -58,49 +57,32 @@
 
 	// Server is the administration API of one instance.
 	Server struct {
+		*acceptor.Acceptor
 		config Config
-		app    *fiber.App
-		group  conc.WaitGroup
 	}
 )
 
 // New returns a server; Serve starts it.
 func New(config Config) *Server {
 	s := &Server{config: config}
-	s.app = fiber.New(fiber.Config{BodyLimit: maxBody, ErrorHandler: answerError})
+	app := fiber.New(fiber.Config{BodyLimit: maxBody, ErrorHandler: answerError})
 	read, write := s.allow(false), s.allow(true)
-	s.app.Get("/status", read, s.onStatus)
-	s.app.Get("/table", read, s.onTable)
-	s.app.Get("/changes/:id", read, s.onLookup)
-	s.app.Get("/in-force/:revision", read, s.onInForce)
-	s.app.Get("/history", read, s.onHistory)
-	s.app.Get("/events", read, s.onEvents)
-	s.app.Get("/traces", read, s.onTraces)
-	s.app.Get("/traces/:id", read, s.onTrace)
-	s.app.Get("/metrics", read, s.onMetrics)
-	s.app.Post("/table", write, s.onChangeRows)
-	s.app.Post("/data-centre", write, s.onSetDataCentre)
-	s.app.Post("/control", write, s.onConfigure)
+	app.Get("/status", read, s.onStatus)
+	app.Get("/table", read, s.onTable)
+	app.Get("/changes/:id", read, s.onLookup)
+	app.Get("/in-force/:revision", read, s.onInForce)
+	app.Get("/history", read, s.onHistory)
+	app.Get("/events", read, s.onEvents)
+	app.Get("/traces", read, s.onTraces)
+	app.Get("/traces/:id", read, s.onTrace)
+	app.Get("/metrics", read, s.onMetrics)
+	app.Post("/table", write, s.onChangeRows)
+	app.Post("/data-centre", write, s.onSetDataCentre)
+	app.Post("/control", write, s.onConfigure)
+	s.Acceptor = acceptor.New(app, config.TLS)
 	return s
 }
 
-// Serve answers on listener until Close.
-func (s *Server) Serve(listener net.Listener) {
-	if s.config.TLS != nil {
-		listener = tls.NewListener(listener, s.config.TLS)
-	}
-	s.group.Go(func() {
-		_ = s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
-	})
-}
-
-// Close stops the server.
-func (s *Server) Close(timeout time.Duration) error {
-	err := s.app.ShutdownWithTimeout(timeout)
-	s.group.Wait()
-	return errors.Wrap(err, "close the administration API")
-}
-
 // allow lets a request pass whose token is good for reading, or for changes as well.
 func (s *Server) allow(change bool) fiber.Handler {
 	return func(c fiber.Ctx) error {
--- a/pkg/replicator/harness_test.go
+++ b/pkg/replicator/harness_test.go
@@ -24,7 +24,6 @@
 		skew     time.Duration
 		applied  []Entry
 		restored uint64
-		state    map[string]string
 	}
 
 	pendingRead struct {
