Spend hedges on requests that need them, and probe slow leafs less

Hedges at the 95th percentile spent the whole budget of 4% on usual requests, a hedge refused by a busy leaf was never tried again, any refusal paused hedges for a second, and each instance tried a slow leaf every few seconds. Change: the 97th percentile; a refused hedge gives its token back and is tried again 8 ms later; only shedding or a raised threshold pauses hedges, for 200 ms; the latency of requests given up counts half and fades with a half-life of 10 s. What remains is that 70% on three replicas is 105% on two.

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -15,6 +15,7 @@
 
 const (
 	latencyGain       = 0.2
+	lateGain          = 0.5
 	defaultLatency    = 5 * time.Millisecond
 	ejectAfterFaults  = 5
 	ejectFirst        = 500 * time.Millisecond
@@ -23,7 +24,7 @@
 	restPenalty       = 200 * time.Millisecond
 	reportLifetime    = 2 * time.Second
 	draws             = 2
-	latencyHalfLife   = 2 * time.Second
+	latencyHalfLife   = 10 * time.Second
 	unavailableFirst  = 100 * time.Millisecond
 	// unavailableLongest is short enough for a leaf that is back to be found soon.
 	unavailableLongest = time.Second
@@ -162,7 +163,7 @@
 	if waited <= latency {
 		return
 	}
-	r.latency = latency + time.Duration(latencyGain*float64(waited-latency))
+	r.latency = latency + time.Duration(lateGain*float64(waited-latency))
 	r.measuredAt = now
 }
 
--- a/pkg/coordinator/query.go
+++ b/pkg/coordinator/query.go
@@ -75,9 +75,12 @@
 
 	// NotRun says that no leaf started the request.
 	NotRun struct {
-		Attempt    uint64
-		Reason     string
-		Overload   bool
+		Attempt uint64
+		Reason  string
+		// Overload says that the leaf had no room for the request in time.
+		Overload bool
+		// Sustained says that the leaf sheds load or has raised its threshold.
+		Sustained  bool
 		WrongPlan  bool
 		LeafFaulty bool
 		Timing     Timing
@@ -299,7 +302,7 @@
 
 func (q *Query) onNotRun(index int, leaf assigner.LeafID, reply NotRun, now time.Duration) []Action {
 	shard := &q.shards[index]
-	if reply.Overload {
+	if reply.Sustained {
 		q.tools.Budget.OnOverload(now)
 	}
 	if reply.LeafFaulty {
@@ -308,6 +311,9 @@
 	if reply.WrongPlan {
 		shard.barred[leaf] = true
 	}
+	if q.records[q.recordOf[reply.Attempt]].Kind == AttemptHedge {
+		q.onHedgeRefused(shard, leaf, now)
+	}
 	if len(shard.live) > 0 || shard.answered {
 		return nil
 	}
@@ -320,6 +326,13 @@
 	return q.askAgain(index, reply.Overload, reply.Overload, now)
 }
 
+// onHedgeRefused takes the token back, and lets a hedge be tried again a little later.
+func (q *Query) onHedgeRefused(shard *shardState, leaf assigner.LeafID, now time.Duration) {
+	q.tools.Budget.ReturnHedge()
+	shard.tries[leaf]--
+	shard.hedgeAt = now + retryPause
+}
+
 func (q *Query) onUnknown(index int, reason string, now time.Duration) []Action {
 	shard := &q.shards[index]
 	if len(shard.live) > 0 || shard.answered {
--- a/pkg/coordinator/query_test.go
+++ b/pkg/coordinator/query_test.go
@@ -305,3 +305,19 @@
 		}
 	}
 }
+
+func TestRefusedHedgeIsTriedAgain(t *testing.T) {
+	s := newScene(t, plan(1, "a", "b"), Limits{Idempotent: true, HedgePercent: 4})
+	s.take(s.query.OnTime(s.query.Wake()))
+	for _, ask := range s.asks {
+		if ask.Hedge {
+			delete(s.asks, ask.Attempt)
+			s.take(s.query.OnReply(NotRun{Attempt: ask.Attempt, Reason: "leaf-busy"}, 30*time.Millisecond))
+		}
+	}
+	sent := s.nextID
+	s.take(s.query.OnTime(30*time.Millisecond + retryPause))
+	if s.nextID != sent+1 {
+		t.Fatal("no further hedge after one was refused")
+	}
+}
--- a/pkg/dispatcher/convert.go
+++ b/pkg/dispatcher/convert.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"lovagedeck/pkg/admitter"
 	"lovagedeck/pkg/chooser"
 	"lovagedeck/pkg/coordinator"
 	"lovagedeck/pkg/fellow"
@@ -38,6 +39,7 @@
 	case fellow.KindNotRun:
 		return coordinator.NotRun{
 			Attempt: reply.ID, Reason: reply.Reason, Overload: reply.Overload,
+			Sustained: reply.Reason == leaf.ReasonShed || reply.Reason == string(admitter.RefusedPriority),
 			WrongPlan: reply.Reason == leaf.ReasonVersionGone, LeafFaulty: reply.Faulty, Timing: timing,
 		}
 	}
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	hedgeQuantile  = 0.95
+	hedgeQuantile  = 0.97
 	maxToolSets    = 1024
 	priorityBits   = 32
 	holdingsRounds = 40
--- a/pkg/hedger/budget.go
+++ b/pkg/hedger/budget.go
@@ -8,7 +8,7 @@
 
 const (
 	budgetStore     = 20.0
-	overloadPause   = time.Second
+	overloadPause   = 200 * time.Millisecond
 	percentDivisor  = 100.0
 	retryStore      = 50.0
 	retryPerRequest = 0.1
@@ -44,6 +44,9 @@
 	return true
 }
 
+// ReturnHedge gives back the token of a hedge that no leaf received.
+func (b *Budget) ReturnHedge() { b.hedges = min(budgetStore, b.hedges+1) }
+
 // TakeRetry spends one token on a request that replaces one which no leaf started.
 func (b *Budget) TakeRetry() bool {
 	if b.retries < 1 {
