Share the connection between instances, and bound messages for good

Cause: fellow and controller each had the same opening and dropping of connections. The bound on a message was not kept: a test sent one byte more than 32 MiB and it was taken, since the last read could be larger than what was left. Change: package linker has the line to a peer; a read never goes beyond the bound; ports are chosen below those of outgoing connections, and bench goes on after an experiment that failed.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PACKAGES = ./cmd/... ./pkg/...
 
-.PHONY: build demo check format lint test spec bench soak
+.PHONY: build demo check format lint test spec soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -23,5 +23,9 @@
 test:
 	$(GO) test $(PACKAGES)
 
+# Longer runs of the replicated log under random failures, with another seed each time.
+soak:
+	SOAK_RUNS=20000 SOAK_SEED=$$(date +%s) $(GO) test -count=1 -timeout 30m -run TestStateful ./pkg/replicator
+
 spec:
 	sh spec/check.sh
--- a/pkg/admitter/leaf.go
+++ b/pkg/admitter/leaf.go
@@ -17,7 +17,7 @@
 	RefusedQueueFull Refusal = "queue-full"
 	// RefusedTooLate means that the item could not be answered before its deadline.
 	RefusedTooLate Refusal = "deadline-too-near"
-	// RefusedResting means that the leaf is left alone after it refused or broke off.
+	// RefusedResting means that nothing is sent to the leaf for a while after it refused or broke off.
 	RefusedResting Refusal = "leaf-resting"
 	// RefusedPriority means that the overload threshold is above the priority of the item.
 	RefusedPriority Refusal = "overloaded"
--- a/pkg/assigner/fence.go
+++ b/pkg/assigner/fence.go
@@ -33,7 +33,7 @@
 		Running int
 		// RunningUntil is the longest remaining time of those requests.
 		RunningUntil time.Duration
-		// Limit is the number of requests that the leaf was bearing.
+		// Limit is the number of requests that the leaf was given at a time.
 		Limit float64
 		// Latency is the usual time of one request.
 		Latency time.Duration
--- a/pkg/commander/verb_bench.go
+++ b/pkg/commander/verb_bench.go
@@ -28,6 +28,7 @@
 			&cli.StringFlag{Name: "shape", Value: "agency", Usage: "`SHAPE` of the leafs: agency or tobermory"},
 			&cli.StringFlag{Name: "compare", Usage: "also run this `POLICY`, in turn: " + strings.Join(experimenter.Policies(), ", ")},
 			&cli.StringFlag{Name: "plot", Usage: "write the p99 of each second to this `FILE.svg`"},
+			&cli.StringFlag{Name: "report", Usage: "write the figures as a Markdown table to this `FILE.md`"},
 			outputFlag(),
 		},
 		Action: runBench,
@@ -52,16 +53,7 @@
 		return err
 	}
 	config := experimenter.BenchConfig{Seed: uint64(command.Uint("seed")), Shape: command.String("shape"), Progress: os.Stderr}
-	var runs []experimenter.Run
-	for _, name := range names {
-		for _, policy := range benchPolicies(command.String("compare")) {
-			run, err := experimenter.RunExperiment(name, policy, config)
-			if err != nil {
-				return err
-			}
-			runs = append(runs, run)
-		}
-	}
+	runs, failed := runAll(names, benchPolicies(command.String("compare")), config)
 	if err := printer.Print(command.Root().Writer, format, benchSheet(runs), runs); err != nil {
 		return err
 	}
@@ -73,9 +65,49 @@
 			return err
 		}
 	}
+	if path := command.String("report"); path != "" {
+		if err := writeReport(path, runs); err != nil {
+			return err
+		}
+	}
+	if failed != nil {
+		return failed
+	}
 	return benchVerdict(runs)
 }
 
+// runAll runs every experiment, goes on after one that failed, and returns the first failure with all figures.
+func runAll(names, policies []string, config experimenter.BenchConfig) ([]experimenter.Run, error) {
+	var runs []experimenter.Run
+	var failed error
+	for _, name := range names {
+		for _, policy := range policies {
+			run, err := experimenter.RunExperiment(name, policy, config)
+			if err != nil {
+				progress("%v", err)
+				if failed == nil {
+					failed = err
+				}
+				continue
+			}
+			runs = append(runs, run)
+		}
+	}
+	return runs, failed
+}
+
+func writeReport(path string, runs []experimenter.Run) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	if err := experimenter.WriteReport(file, runs); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return errors.Wrap(file.Close(), "write report")
+}
+
 func benchNames(name string) ([]string, error) {
 	if name == "" {
 		return nil, usagef("name an experiment, or all")
--- a/pkg/controller/client.go
+++ b/pkg/controller/client.go
@@ -175,7 +175,7 @@
 				return
 			}
 			mu.Lock()
-			statuses[p.address] = reply
+			statuses[p.address()] = reply
 			mu.Unlock()
 		})
 	}
--- a/pkg/emulator/fleet.go
+++ b/pkg/emulator/fleet.go
@@ -21,7 +21,7 @@
 	BreachSlots Breach = "slots"
 	// BreachConnections counts connections beyond the limit of a leaf.
 	BreachConnections Breach = "connections"
-	// BreachCold counts requests beyond what a cold leaf bears, after it showed that it is cold.
+	// BreachCold counts requests beyond the capacity of a cold leaf, after it showed that it is cold.
 	BreachCold Breach = "cold-start"
 	// BreachTakenOut counts requests to a data centre or leaf well after it was taken out.
 	BreachTakenOut Breach = "taken-out"
@@ -32,7 +32,7 @@
 )
 
 type (
-	// Breach is a kind of breach of what leafs bear.
+	// Breach is a kind of breach of a leaf's limits.
 	Breach string
 
 	// Counts is what the leafs received and did.
--- a/pkg/emulator/leaf.go
+++ b/pkg/emulator/leaf.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	coldBears         = 2
+	coldCapacity      = 2
 	coldAnswers       = 40
 	coldFactor        = 4
 	fallRecovery      = 400 * time.Millisecond
@@ -258,7 +258,7 @@
 	case !l.holds(request):
 		return nil, leaf.ReasonVersionGone
 	}
-	if l.cold > 0 && len(l.running) >= coldBears {
+	if l.cold > 0 && len(l.running) >= coldCapacity {
 		if !l.coldSeen.IsZero() && now.Sub(l.coldSeen) > times(evidenceTolerance, l.spec.pace()) {
 			l.fleet.breach(BreachCold, l.spec.ID)
 		}
--- a/pkg/emulator/slow_motion.go
+++ b/pkg/emulator/slow_motion.go
@@ -17,8 +17,8 @@
 	return slow
 }
 
-// Bears returns how many queries per second the leafs bear, when each query asks every shard of the services once.
-func (s Shape) Bears(services []string) float64 {
+// Capacity returns how many queries per second the leafs can run, when each query asks every shard of the services once.
+func (s Shape) Capacity(services []string) float64 {
 	asked := map[string]bool{}
 	for _, service := range services {
 		asked[service] = true
@@ -26,9 +26,9 @@
 	lowest := 0.0
 	for _, family := range s.Families {
 		for _, service := range family.ServiceNames() {
-			bears := float64(family.Slots*len(s.DataCentres)) / family.Work.Seconds()
-			if asked[service] && (lowest == 0 || bears < lowest) {
-				lowest = bears
+			capacity := float64(family.Slots*len(s.DataCentres)) / family.Work.Seconds()
+			if asked[service] && (lowest == 0 || capacity < lowest) {
+				lowest = capacity
 			}
 		}
 	}
--- a/pkg/experimenter/bench.go
+++ b/pkg/experimenter/bench.go
@@ -1,5 +1,5 @@
 // A bench run starts a tier against the leafs of one user, offers a share of
-// what the leafs bear, brings about what the experiment is named for, and
+// the capacity of the leafs, brings about what the experiment is named for, and
 // prints what callers and leafs saw.
 
 package experimenter
@@ -186,7 +186,7 @@
 }
 
 func (e *environment) rate(load float64) float64 {
-	return load * e.shape.Bears(e.services)
+	return load * e.shape.Capacity(e.services)
 }
 
 func (e *environment) templates() []Template {
@@ -200,9 +200,9 @@
 	do    func() error
 }
 
-// load offers a share of what the leafs bear and carries out steps meanwhile.
+// load offers a share of the capacity of the leafs and carries out steps meanwhile.
 func (e *environment) load(phase string, share float64, duration time.Duration, steps ...step) error {
-	e.say("%s: %.0f%% of what the leafs bear for %s", phase, 100*share, duration)
+	e.say("%s: %.0f%% of the capacity of the leafs for %s", phase, 100*share, duration)
 	load := NewLoad(e.rate(share), e.templates(), Direct(e.tier, e.config.Seed), e.judge, e.config.Seed+1)
 	before := e.fleet.Counts()
 	var group conc.WaitGroup
--- a/pkg/experimenter/experiments.go
+++ b/pkg/experimenter/experiments.go
@@ -20,12 +20,12 @@
 }
 
 var experiments = []experiment{
-	{"steady", "70% of what the leafs bear", runSteady},
+	{"steady", "70% of the capacity of the leafs", runSteady},
 	{"stragglers", "1% of the leafs ten times slower, then others", runStragglers},
 	{"replica-loss", "two of three replicas of every shard lost", runReplicaLoss},
 	{"cold-start", "one leaf, then a data centre starts cold, then leafs turn cold unannounced", runColdStart},
 	{"data-centre-out-in", "a data centre is taken out and brought back", runDataCentre},
-	{"overload", "1, 1.5 and 3 times what the leafs bear", runOverload},
+	{"overload", "1, 1.5 and 3 times the capacity of the leafs", runOverload},
 	{"versions", "a new index every two seconds, then a repartition", runVersions},
 	{"entry-loss", "one owner killed, then two at once", runEntryLoss},
 	{"control-cut", "each control instance silently isolated in turn", runControlCut},
--- /dev/null
+++ b/pkg/experimenter/report.go
@@ -0,0 +1,44 @@
+package experimenter
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// WriteReport writes the figures of runs as a Markdown table, with p99 marked where it misses the target.
+func WriteReport(w io.Writer, runs []Run) error {
+	lines := []string{
+		"| experiment | phase | shape | policy | load | offered/s | p50 ms | p99 ms | p99.9 ms | complete | coverage | work | violations |",
+		"|---|---|---|---|---|---|---|---|---|---|---|---|---|",
+	}
+	for _, run := range runs {
+		for _, p := range run.Phases {
+			lines = append(lines, reportLine(run, p))
+		}
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			return errors.Wrap(err, "write report")
+		}
+	}
+	return nil
+}
+
+func reportLine(run Run, p Phase) string {
+	violations := "0"
+	if run.ViolationCount() > 0 {
+		violations = fmt.Sprint(run.Violations)
+	}
+	missed := ""
+	if p.P99 > TargetP99 {
+		missed = " (over 52)"
+	}
+	return fmt.Sprintf("| %s | %s | %s | %s | %.2f | %.0f | %.1f | %.1f%s | %.1f | %.4f | %.4f | %.3f | %s |",
+		p.Experiment, p.Phase, p.Shape, p.Policy, p.Load, p.Offered, inMillis(p.P50), inMillis(p.P99), missed, inMillis(p.P999),
+		p.Complete(), p.Coverage, p.Work, violations)
+}
+
+func inMillis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/pkg/experimenter/tier.go
+++ b/pkg/experimenter/tier.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -24,6 +25,9 @@
 	readyTimeout = 20 * time.Second
 	readyPoll    = 20 * time.Millisecond
 	keyMode      = 0o600
+	lowestPort   = 12_000
+	portCount    = 18_000
+	portTries    = 1000
 )
 
 type (
@@ -291,18 +295,23 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses with free ports.
+// freeAddresses returns loopback addresses with free ports below those that the system gives to outgoing connections,
+// so that none is taken before its instance listens.
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
+		if len(addresses) == count {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, errors.New("find free ports: too many are taken")
 }
 
 func waitFor(timeout time.Duration, what string, done func() bool) error {
--- a/pkg/fellow/link.go
+++ b/pkg/fellow/link.go
@@ -21,7 +21,6 @@
 	maxCallsAtOnce   = 4
 	maxBatchItems    = 256
 	callTimeout      = time.Second
-	redialPause      = 50 * time.Millisecond
 	lowestAckTime    = 20 * time.Millisecond
 	highestAckTime   = 100 * time.Millisecond
 	ackTimeFactor    = 5
@@ -35,22 +34,18 @@
 
 	// Link sends to one incarnation of one fellow.
 	Link struct {
-		linker  *linker.Linker
+		line    *linker.Line
 		self    tabulator.MemberID
 		address string
 		peer    tabulator.MemberID
-		target  string
 		lost    Lost
 
-		dialing  chan struct{}
 		mu       sync.Mutex
 		wake     *sync.Cond
 		asks     []Ask
 		cancels  []uint64
 		replies  []Reply
 		sequence uint64
-		client   *rpc.Client
-		failedAt time.Time
 		closed   bool
 		group    conc.WaitGroup
 		ackTime  time.Duration
@@ -72,7 +67,7 @@
 
 func newLink(l *linker.Linker, self tabulator.MemberID, address string, peer tabulator.MemberID, target string, lost Lost) *Link {
 	link := &Link{
-		linker: l, self: self, address: address, peer: peer, target: target, lost: lost, dialing: make(chan struct{}, 1),
+		line: l.NewLine(target), self: self, address: address, peer: peer, lost: lost,
 		// Sequence numbers go on from the clock, so that a later link of this incarnation uses none of them again.
 		sequence: uint64(time.Now().UnixNano()),
 	}
@@ -103,47 +98,24 @@
 
 // Call makes one call beside the batches.
 func (l *Link) Call(method string, query, reply any) error {
-	client, err := l.connect()
-	if err != nil {
-		return err
-	}
-	return l.await(client, client.Go("Fellow."+method, query, reply, make(chan *rpc.Call, 1)), callTimeout)
+	return l.line.Call("Fellow."+method, query, reply, callTimeout)
 }
 
 // CallFor makes one call that may take up to timeout.
 func (l *Link) CallFor(timeout time.Duration, method string, query, reply any) error {
-	client, err := l.connect()
-	if err != nil {
-		return &NotSentError{peer: l.target, cause: err}
-	}
-	return l.await(client, client.Go("Fellow."+method, query, reply, make(chan *rpc.Call, 1)), timeout)
+	return l.line.Call("Fellow."+method, query, reply, timeout)
 }
 
 // Close drops what is queued and ends the link.
 func (l *Link) Close() {
 	l.mu.Lock()
 	l.closed = true
-	client := l.client
-	l.client = nil
 	l.wake.Broadcast()
 	l.mu.Unlock()
-	if client != nil {
-		_ = client.Close()
-	}
+	l.line.Close()
 	l.group.Wait()
 }
 
-// NotSentError says that a call never left this instance.
-type NotSentError struct {
-	peer  string
-	cause error
-}
-
-func (e *NotSentError) Error() string { return "call " + e.peer + ": not sent: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.cause }
-
 func (l *Link) add(queue func()) {
 	l.mu.Lock()
 	queue()
@@ -182,7 +154,7 @@
 // send makes one call. The call only hands the batch over, so a fellow that does not return from it soon is
 // silent, and what was asked of it may be asked elsewhere.
 func (l *Link) send(batch Batch) {
-	client, err := l.connect()
+	client, err := l.line.Client()
 	if err != nil {
 		l.setSilent()
 		l.report(batch.Asks, false, ReasonUnreachable)
@@ -190,12 +162,12 @@
 	}
 	begun := time.Now()
 	call := client.Go("Fellow.Exchange", batch, &struct{}{}, make(chan *rpc.Call, 1))
-	inTime, err := l.awaitFor(client, call, l.patience())
+	inTime, err := l.line.AwaitFor(client, call, l.patience())
 	if !inTime {
 		l.setSilent()
 		l.report(batch.Asks, true, ReasonSilent)
 		batch.Asks = nil
-		err = l.await(client, call, callTimeout)
+		err = l.line.Await(client, call, callTimeout)
 	}
 	if err == nil {
 		l.onAck(time.Since(begun))
@@ -251,78 +223,6 @@
 	}
 }
 
-// await waits for the end of a call and drops the connection when it does not end in time.
-func (l *Link) await(client *rpc.Client, call *rpc.Call, timeout time.Duration) error {
-	inTime, err := l.awaitFor(client, call, timeout)
-	if inTime {
-		return err
-	}
-	l.drop(client)
-	return errors.Errorf("call instance %s: no answer within %s", l.peer, timeout)
-}
-
-// awaitFor waits for the end of a call and tells whether it came in time.
-func (l *Link) awaitFor(client *rpc.Client, call *rpc.Call, timeout time.Duration) (inTime bool, err error) {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-call.Done:
-	case <-timer.C:
-		return false, nil
-	}
-	var serverError rpc.ServerError
-	if call.Error != nil && !errors.As(call.Error, &serverError) {
-		l.drop(client)
-	}
-	return true, errors.Wrapf(call.Error, "call instance %s", l.peer)
-}
-
-func (l *Link) connect() (*rpc.Client, error) {
-	if client, err := l.connected(); client != nil || err != nil {
-		return client, err
-	}
-	l.dialing <- struct{}{}
-	defer func() { <-l.dialing }()
-	if client, err := l.connected(); client != nil || err != nil {
-		return client, err
-	}
-	client, err := l.linker.Connect(l.target)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if err != nil {
-		l.failedAt = time.Now()
-		return nil, err
-	}
-	if l.closed {
-		_ = client.Close()
-		return nil, errors.Errorf("link to %s is closed", l.peer)
-	}
-	l.client = client
-	return client, nil
-}
-
-// connected returns the open connection, nothing, or why no connection may be opened now.
-func (l *Link) connected() (*rpc.Client, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.closed {
-		return nil, errors.Errorf("link to %s is closed", l.peer)
-	}
-	if l.client == nil && time.Since(l.failedAt) < redialPause {
-		return nil, errors.Errorf("link to %s: waiting before the next connection", l.peer)
-	}
-	return l.client, nil
-}
-
-func (l *Link) drop(client *rpc.Client) {
-	l.mu.Lock()
-	if l.client == client {
-		l.client = nil
-	}
-	l.mu.Unlock()
-	_ = client.Close()
-}
-
 func split[T any](items []T) (batch, rest []T) {
 	if len(items) <= maxBatchItems {
 		return items, nil
--- a/pkg/linker/codec.go
+++ b/pkg/linker/codec.go
@@ -43,7 +43,7 @@
 	if b.left <= 0 {
 		return 0, errors.Errorf("message of more than %d bytes", maxMessage)
 	}
-	n, err := b.reader.Read(p)
+	n, err := b.reader.Read(p[:min(len(p), b.left)])
 	b.left -= n
 	return n, err
 }
