Ask an ejected leaf rather than nobody

Cause: with one replica ejected and the others without an owner, the chooser left nobody and the shard was missing as 'no-replica' though a replica lived. Change: the ejected and then the unavailable ones are asked; a leaf at rest stays last until its report is old.

--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -233,8 +233,8 @@
 			kept = append(kept, i)
 		}
 	}
-	if len(kept)+len(ejected) == 0 {
-		return away
+	if len(kept) == 0 {
+		return append(ejected, away...)
 	}
 	if len(ejected)*100 > len(candidates)*ejectSharePercent {
 		return append(kept, ejected...)
@@ -288,7 +288,7 @@
 	}
 	wait := max(0, ahead+1-r.report.Limit) / max(1, r.report.Limit) * float64(service)
 	score := float64(max(service, r.latencyAt(now))) + wait
-	if r.report.Resting && now-r.reportedAt < restPenalty {
+	if r.report.Resting && now-r.reportedAt < reportLifetime {
 		score += float64(restPenalty)
 	}
 	return score
--- a/pkg/chooser/chooser_test.go
+++ b/pkg/chooser/chooser_test.go
@@ -27,6 +27,11 @@
 		highest int
 	}{
 		{"long queue", func(c *Chooser) { c.OnReport("a", Report{Limit: 2, Queued: 20, Latency: 5 * time.Millisecond}, now) }, 0},
+		{"left to rest", func(c *Chooser) {
+			c.OnReport("a", Report{Limit: 1, Resting: true}, now-reportLifetime/2)
+			c.OnAnswer("b", 90*time.Millisecond, now)
+			c.OnAnswer("c", 90*time.Millisecond, now)
+		}, 0},
 		{"slow answers", func(c *Chooser) { c.OnAnswer("a", 80*time.Millisecond, now) }, 0},
 		{"given up late", func(c *Chooser) {
 			for range 10 {
@@ -105,3 +110,15 @@
 		})
 	}
 }
+
+func TestSomebodyIsAlwaysChosen(t *testing.T) {
+	c := New(rand.New(rand.NewPCG(1, 1)))
+	for range ejectAfterFaults {
+		c.OnFault("a", 0)
+	}
+	c.OnUnavailable("b", 0)
+	c.OnUnavailable("c", 0)
+	if c.Choose(three(), 1) < 0 {
+		t.Fatal("one leaf is ejected, the others cannot be sent to, and nobody is asked")
+	}
+}
