Ask for holdings while a shard lacks a known replica

Cause: a service of which one leaf had told what it holds counted as known, so at the start a shard that nobody had told of was missing as 'no-replica', and an answer that needs every shard failed at once. Change: where a shard of the plan has no known replica, the owners are asked once before the query, at most every 100 ms.

--- a/pkg/coordinator/catalogue.go
+++ b/pkg/coordinator/catalogue.go
@@ -224,6 +224,9 @@
 	return Holding{}, false
 }
 
+// Whole tells whether every shard has a replica that may be asked.
+func (p Plan) Whole() bool { return p.unreachable() == 0 }
+
 func (p Plan) unreachable() int {
 	missing := 0
 	for _, shard := range p.Shards {
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -27,6 +27,7 @@
 	priorityBits   = 32
 	holdingsRounds = 40
 	holdingsPause  = 25 * time.Millisecond
+	askPause       = 100 * time.Millisecond
 )
 
 type (
@@ -67,6 +68,7 @@
 		running    map[uint64]*course
 		sequence   uint64
 		queries    uint64
+		askedAt    time.Duration
 		open       int
 		draining   bool
 		counters   counters
