Read the counts of the fake leaf under its lock

Cause: the race detector found the owner's tests reading counts that the fake leaf writes. Change: the tests read them under the lock. Measured: go test -race ./pkg/owner failed before and passes now.

--- a/pkg/owner/owner_test.go
+++ b/pkg/owner/owner_test.go
@@ -74,8 +74,12 @@
 			b.replies = append(b.replies, reply)
 			b.mu.Unlock()
 		},
-		AskRelease: func(tabulator.Member, uint64, assigner.LeafID) (fellow.Released, bool) { return b.release, b.reached },
-		Note:       func(string, string, string) {}, Growth: admitter.AdditiveGrowth{},
+		AskRelease: func(tabulator.Member, uint64, assigner.LeafID) (fellow.Released, bool) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return b.release, b.reached
+		},
+		Note: func(string, string, string) {}, Growth: admitter.AdditiveGrowth{},
 		Dial: func(string, time.Duration) (net.Conn, error) { return b.listener.Dial() },
 	}, metrics.NewSet())
 	b.owner.Run()
@@ -147,6 +151,25 @@
 	return outcomes
 }
 
+// get reads a count that the leaf writes.
+func (b *bench) get(count *int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return *count
+}
+
+func (b *bench) setWork(work time.Duration) {
+	b.mu.Lock()
+	b.work = work
+	b.mu.Unlock()
+}
+
+func (b *bench) setRelease(release fellow.Released) {
+	b.mu.Lock()
+	b.release, b.reached = release, true
+	b.mu.Unlock()
+}
+
 func (b *bench) setLease(held bool) {
 	b.mu.Lock()
 	b.lease = held
@@ -167,14 +190,14 @@
 		time.Sleep(assigner.FenceWait() - 50*time.Millisecond)
 		b.ask(1, time.Second)
 		time.Sleep(10 * time.Millisecond)
-		if b.received != 0 || b.outcomes()[fellow.ReasonFenced] != 1 {
-			t.Errorf("%d received, replies %v", b.received, b.outcomes())
+		if b.get(&b.received) != 0 || b.outcomes()[fellow.ReasonFenced] != 1 {
+			t.Errorf("%d received, replies %v", b.get(&b.received), b.outcomes())
 		}
 		time.Sleep(100 * time.Millisecond)
 		b.ask(2, time.Second)
 		time.Sleep(time.Second)
-		if b.received != 1 || b.outcomes()["hit"] != 1 {
-			t.Errorf("after the wait: %d received, replies %v", b.received, b.outcomes())
+		if b.get(&b.received) != 1 || b.outcomes()["hit"] != 1 {
+			t.Errorf("after the wait: %d received, replies %v", b.get(&b.received), b.outcomes())
 		}
 	})
 }
@@ -184,16 +207,15 @@
 		b := newBench(t)
 		defer b.close()
 		b.apply(t, tabulator.Remove{Instance: "e1", Incarnation: 1, Reason: tabulator.RemovedExpired})
-		b.release = fellow.Released{Open: true, Running: 1, RunningUntil: time.Second, Limit: 2, Latency: 5 * time.Millisecond}
-		b.reached = true
+		b.setRelease(fellow.Released{Open: true, Running: 1, RunningUntil: time.Second, Limit: 2, Latency: 5 * time.Millisecond})
 		b.apply(t, tabulator.Join{Member: tabulator.MemberFields{Instance: "e1", Incarnation: 1, DataCentre: "d", Via: "again"}})
 		time.Sleep(50 * time.Millisecond)
 		for id := range uint64(6) {
 			b.ask(id+1, 900*time.Millisecond)
 		}
 		time.Sleep(500 * time.Millisecond)
-		if b.highest != 1 || b.outcomes()["hit"] != 6 {
-			t.Errorf("%d ran at once beside one of the former owner, replies %v", b.highest, b.outcomes())
+		if b.get(&b.highest) != 1 || b.outcomes()["hit"] != 6 {
+			t.Errorf("%d ran at once beside one of the former owner, replies %v", b.get(&b.highest), b.outcomes())
 		}
 	})
 }
@@ -226,8 +248,8 @@
 				test.set(t, b)
 				b.ask(1, time.Second)
 				time.Sleep(time.Second)
-				if b.received != 0 || b.outcomes()[test.reason] != 1 {
-					t.Errorf("%d received, replies %v, want one %s", b.received, b.outcomes(), test.reason)
+				if b.get(&b.received) != 0 || b.outcomes()[test.reason] != 1 {
+					t.Errorf("%d received, replies %v, want one %s", b.get(&b.received), b.outcomes(), test.reason)
 				}
 			})
 		})
@@ -238,15 +260,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
 		defer b.close()
-		b.work = 200 * time.Millisecond
+		b.setWork(200 * time.Millisecond)
 		time.Sleep(2 * assigner.FenceWait())
 		b.ask(1, 5*time.Second)
 		b.ask(2, 5*time.Second)
 		time.Sleep(50 * time.Millisecond)
 		b.setLease(false)
 		time.Sleep(10 * time.Second)
-		if got := b.outcomes(); b.received != 1 || got["hit"] != 1 || got[fellow.ReasonNoLease] != 1 {
-			t.Errorf("%d received, replies %v", b.received, got)
+		if got := b.outcomes(); b.get(&b.received) != 1 || got["hit"] != 1 || got[fellow.ReasonNoLease] != 1 {
+			t.Errorf("%d received, replies %v", b.get(&b.received), got)
 		}
 	})
 }
@@ -255,15 +277,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
 		defer b.close()
-		b.work = 100 * time.Millisecond
+		b.setWork(100 * time.Millisecond)
 		time.Sleep(2 * assigner.FenceWait())
 		b.ask(1, 5*time.Second)
 		b.ask(2, 5*time.Second)
 		time.Sleep(10 * time.Millisecond)
 		b.owner.OnCancels(asker, []uint64{1, 2, 3})
 		time.Sleep(time.Second)
-		if b.received != 1 || b.cancels != 1 || len(b.replies) != 0 || b.owner.Busy() != 0 {
-			t.Errorf("%d received, %d cancelled at the leaf, replies %v, %d busy", b.received, b.cancels, b.outcomes(), b.owner.Busy())
+		if b.get(&b.received) != 1 || b.get(&b.cancels) != 1 || len(b.outcomes()) != 0 || b.owner.Busy() != 0 {
+			t.Errorf("%d received, %d cancelled at the leaf, replies %v, %d busy", b.get(&b.received), b.get(&b.cancels), b.outcomes(), b.owner.Busy())
 		}
 	})
 }
@@ -272,7 +294,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
 		defer b.close()
-		b.work = 100 * time.Millisecond
+		b.setWork(100 * time.Millisecond)
 		time.Sleep(2 * assigner.FenceWait())
 		b.ask(1, 2*time.Second)
 		time.Sleep(10 * time.Millisecond)
