Guard which control instance a client asks first

Cause: the race detector found the renewals writing and operators' calls reading the index of the present control instance. Change: it is atomic. Measured: go test ./pkg/controller passes; with -race the two reads were reported before.

--- a/pkg/controller/client.go
+++ b/pkg/controller/client.go
@@ -44,7 +44,7 @@
 	Client struct {
 		config   ClientConfig
 		peers    []*peer
-		current  int
+		current  atomic.Int64
 		mu       sync.Mutex
 		view     *tabulator.View
 		lease    assigner.Lease
@@ -63,7 +63,7 @@
 		client.peers = append(client.peers, newPeer(config.Linker, address))
 	}
 	if len(client.peers) > 0 {
-		client.current = config.Random.IntN(len(client.peers))
+		client.current.Store(config.Random.Int64N(int64(len(client.peers))))
 	}
 	return client
 }
@@ -202,7 +202,7 @@
 		}
 		if err != nil {
 			pause = retryInterval
-			c.current = (c.current + 1) % max(1, len(c.peers))
+			c.current.Store((c.current.Load() + 1) % int64(max(1, len(c.peers))))
 		}
 		c.noteLease()
 		select {
@@ -221,7 +221,7 @@
 	query := RenewQuery{Member: c.config.Member, Have: view.Revision(), Stamp: c.config.Timeline.Now()}
 	sentAt := c.config.Now()
 	var reply RenewReply
-	if err := c.peers[c.current].call("Renew", query, &reply, renewTimeout); err != nil {
+	if err := c.peers[c.current.Load()].call("Renew", query, &reply, renewTimeout); err != nil {
 		return err
 	}
 	c.config.Timeline.Observe(reply.Stamp)
@@ -280,7 +280,7 @@
 // anywhere tries each control instance, the present one first.
 func (c *Client) anywhere(try func(p *peer) error) error {
 	err := errors.New("the settings name no control instance")
-	begin := c.current
+	begin := int(c.current.Load())
 	for i := range c.peers {
 		if err = try(c.peers[(begin+i)%len(c.peers)]); err == nil {
 			return nil
