Mend what a second reading found

Cause: the demo printed a coverage of 1.0003, which is not true: the mean of a histogram rounds up. Giving up a restart also took a query's right to retry other shards. A condition that always held, an unused field and an error answer written twice stood in the code. No test failed when a failed sync was ignored. Change: the mean is exact; a query that cannot start over keeps its retries; the leftovers are gone; a test gives a control instance a disk that takes nothing.

--- a/pkg/acceptor/acceptor.go
+++ b/pkg/acceptor/acceptor.go
@@ -38,3 +38,12 @@
 	a.group.Wait()
 	return errors.Wrap(err, "close the HTTP server")
 }
+
+// StatusOf returns the HTTP status of an error that a handler returned.
+func StatusOf(err error) int {
+	var known *fiber.Error
+	if errors.As(err, &known) {
+		return known.Code
+	}
+	return fiber.StatusInternalServerError
+}
--- a/pkg/caller/server.go
+++ b/pkg/caller/server.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/pkg/errors"
 
 	"lovagedeck/pkg/acceptor"
 	"lovagedeck/pkg/coordinator"
@@ -179,12 +178,7 @@
 }
 
 func answerError(c fiber.Ctx, err error) error {
-	code := fiber.StatusInternalServerError
-	var known *fiber.Error
-	if errors.As(err, &known) {
-		code = known.Code
-	}
-	return c.Status(code).JSON(struct {
+	return c.Status(acceptor.StatusOf(err)).JSON(struct {
 		Outcome string `json:"outcome"`
 		Error   string `json:"error"`
 	}{Outcome: string(coordinator.OutcomeRefused), Error: err.Error()})
--- a/pkg/controller/failures_test.go
+++ b/pkg/controller/failures_test.go
@@ -7,9 +7,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lovagedeck/pkg/assigner"
 	"lovagedeck/pkg/journaler"
 	"lovagedeck/pkg/linker"
+	"lovagedeck/pkg/replicator"
 	"lovagedeck/pkg/tabulator"
 )
 
@@ -324,3 +327,29 @@
 		t.Fatal("the folder of another cluster was opened")
 	}
 }
+
+// brokenStore is a disk that takes nothing.
+type brokenStore struct{}
+
+func (brokenStore) Persist([]replicator.Write) error { return errors.New("no space left on device") }
+
+func TestNothingIsAcknowledgedAfterAFailedWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tier := newTestTier(t, 1)
+		defer tier.close()
+		tier.leader()
+		server := tier.nodes["control-1"].server
+		if err := server.do(func() { server.config.Store = brokenStore{} }); err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			reply := server.propose(tabulator.SetDataCentre{ChangeID: "c", Name: "d", State: tabulator.StateOut})
+			if reply.Result.Verdict == tabulator.VerdictAccepted {
+				t.Fatalf("%+v although nothing reached the disk", reply)
+			}
+		}
+		if reply := server.renew(RenewQuery{Member: tabulator.MemberFields{Instance: "e", Incarnation: 1}}); reply.Granted {
+			t.Fatal("a lease was granted by an instance whose disk failed")
+		}
+	})
+}
--- a/pkg/coordinator/query.go
+++ b/pkg/coordinator/query.go
@@ -184,7 +184,6 @@
 // GiveUpRestart ends the query where no newer plan exists.
 func (q *Query) GiveUpRestart(now time.Duration) []Action {
 	q.gone = false
-	q.limits.Idempotent = false
 	return q.conclude(now)
 }
 
--- a/pkg/experimenter/load.go
+++ b/pkg/experimenter/load.go
@@ -37,7 +37,8 @@
 	Tally struct {
 		mu        sync.Mutex
 		latency   *hdrhistogram.Histogram
-		coverage  *hdrhistogram.Histogram
+		covered   float64
+		judged    int
 		outcomes  map[coordinator.Outcome]int
 		reasons   map[string]int
 		offered   int
@@ -111,7 +112,6 @@
 func newTally() *Tally {
 	return &Tally{
 		latency:  hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits),
-		coverage: hdrhistogram.New(histogramLowest, 10_000, histogramDigits),
 		outcomes: map[coordinator.Outcome]int{}, reasons: map[string]int{}, seconds: map[int]*hdrhistogram.Histogram{},
 	}
 }
@@ -130,7 +130,8 @@
 	t.needed += o.Total
 	_ = t.latency.RecordValue(min(histogramHighest, max(1, latency.Microseconds())))
 	if o.Total > 0 {
-		_ = t.coverage.RecordValue(max(1, int64(10_000*o.Answered/o.Total)))
+		t.covered += float64(o.Answered) / float64(o.Total)
+		t.judged++
 	}
 	t.addToSecond(latency)
 	if latency > t.slowest {
@@ -178,7 +179,7 @@
 func (t *Tally) Slowest() (string, time.Duration) { return t.slowestID, t.slowest }
 
 // Coverage returns the mean answered share of the queries that were not refused.
-func (t *Tally) Coverage() float64 { return t.coverage.Mean() / 10_000 }
+func (t *Tally) Coverage() float64 { return t.covered / float64(max(1, t.judged)) }
 
 // Goodput returns complete and partial answers per second.
 func (t *Tally) Goodput() float64 {
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/pkg/errors"
 
 	"lovagedeck/pkg/acceptor"
 	"lovagedeck/pkg/controller"
@@ -265,12 +264,7 @@
 }
 
 func answerError(c fiber.Ctx, err error) error {
-	code := fiber.StatusInternalServerError
-	var known *fiber.Error
-	if errors.As(err, &known) {
-		code = known.Code
-	}
-	return c.Status(code).JSON(struct {
+	return c.Status(acceptor.StatusOf(err)).JSON(struct {
 		Error string `json:"error"`
 	}{Error: err.Error()})
 }
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -33,17 +33,16 @@
 
 	// Config is what an Owner needs of its instance.
 	Config struct {
-		Self        tabulator.MemberID
-		DataCentre  string
-		Now         func() time.Duration
-		LeaseHeld   func(now time.Duration) bool
-		ReplyTo     ReplyTo
-		AskRelease  AskRelease
-		Note        Note
-		Dial        leaf.Dial
-		Growth      admitter.Growth
-		SplitOver   int
-		LearnedFrom func(id assigner.LeafID, holdings []coordinator.Holding)
+		Self       tabulator.MemberID
+		DataCentre string
+		Now        func() time.Duration
+		LeaseHeld  func(now time.Duration) bool
+		ReplyTo    ReplyTo
+		AskRelease AskRelease
+		Note       Note
+		Dial       leaf.Dial
+		Growth     admitter.Growth
+		SplitOver  int
 	}
 
 	// Owner admits and sends requests for the leafs of this instance.
--- a/pkg/runner/instance.go
+++ b/pkg/runner/instance.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -258,7 +257,5 @@
 // WriteMetrics writes the metrics of this instance in the Prometheus text format.
 func (i *Instance) WriteMetrics(w io.Writer) {
 	i.metrics.WritePrometheus(w)
-	if !strings.Contains(i.settings.Instance, "/") {
-		metrics.WriteProcessMetrics(w)
-	}
+	metrics.WriteProcessMetrics(w)
 }
