Try shards again while the caller has time, and hedge no crowd of late shards

Cause of 25 of 48 unserved requests: a query ended with 502 after 200 ms of three seconds, when eight pauses of a shard that no leaf took were over. So no second requests while more than half of the shards are late. Ruled out: dead leafs (208 leafs refused connections, at most 84 times each).

--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -18,9 +18,6 @@
 const (
 	// mergeMargin is the time to merge and write an answer, with a hiccup of the processor.
 	mergeMargin = 5 * time.Millisecond
-	// pausesOfShard is how often a shard without a leaf that takes it is tried again, 25 ms apart: after a loss of all
-	// instances leafs refuse connections for a tenth of a second, while all instances open theirs.
-	pausesOfShard = 8
 	// lateFactor is how many objectives a late answer waits for its missing shards.
 	lateFactor = 2
 )
@@ -98,7 +95,7 @@
 		Shards: len(shards), MinParts: in.route.MinParts(), Attempts: in.route.Attempts(),
 		HedgeAfter: g.hedgeDelay(in), Due: min(due, giveUp),
 		LateUntil: min(giveUp, at(in.arrived.Add(lateFactor*objective))), GiveUp: giveUp,
-		Pauses: pausesOfShard,
+		RetryUntil: giveUp,
 	}
 	return &query{
 		gate: g, in: in, course: gatherer.New(plan), shards: shards, tried: make([][]*placer.Leaf, len(shards)),
--- a/pkg/gatherer/course.go
+++ b/pkg/gatherer/course.go
@@ -43,8 +43,8 @@
 		LateUntil time.Duration
 		// GiveUp is when the caller, or the route, stops waiting.
 		GiveUp time.Duration
-		// Pauses is how often a shard that no leaf could take is tried again after a pause, where the answer needs it.
-		Pauses int
+		// RetryUntil is until when a shard that no leaf could take is tried again after a pause, where the answer needs it.
+		RetryUntil time.Duration
 	}
 
 	// Course is the state of one query.
@@ -64,17 +64,24 @@
 		lastSent time.Duration
 		// deniedUntil is when an attempt may be tried again, after no leaf could take it.
 		deniedUntil time.Duration
-		// pauses counts how often nothing ran for the shard and no leaf could take it; paused tells that it is so now.
-		pauses int
+		// paused tells that nothing runs for the shard and no leaf could take it; pause is how long it waits then.
 		paused bool
+		pause  time.Duration
 		// lost tells that no further attempt is possible.
 		lost bool
 	}
 )
 
-// deniedPause is the time until a second request that no leaf could take is tried again: a leaf that is paced takes
-// the next request after 50 ms or more.
-const deniedPause = 25 * time.Millisecond
+const (
+	// deniedPause is the time until a second request that no leaf could take is tried again: a leaf that is paced takes
+	// the next request after 50 ms or more.
+	deniedPause = 25 * time.Millisecond
+	// longestPause bounds the pause of a shard, which doubles each time: leafs refuse connections for about a second after a
+	// loss of all instances, and each try may open one.
+	longestPause = 200 * time.Millisecond
+	// crowdShare is the share of shards that are late together under load; leafs that pause or turn slow make a third late.
+	crowdShare = 0.5
+)
 
 // New returns a course of which nothing was asked yet.
 func New(plan Plan) *Course {
@@ -117,16 +124,17 @@
 	return !s.lost
 }
 
-// OnDenied notes that no leaf could take an attempt, or that the budget is used up. It is tried again after a pause; where
-// no earlier attempt runs, only so often until the shard is lost.
+// OnDenied notes that no leaf could take an attempt, or that the budget is used up. It is tried again after a pause, which
+// grows where no earlier attempt runs.
 func (c *Course) OnDenied(index int, now time.Duration) {
 	s := &c.shards[index]
 	s.deniedUntil = now + deniedPause
 	if s.running > 0 {
 		return
 	}
-	s.pauses++
-	s.lost = s.pauses > c.plan.Pauses
+	s.pause = min(longestPause, max(deniedPause, 2*s.pause))
+	s.deniedUntil = now + s.pause
+	s.lost = s.deniedUntil > c.plan.RetryUntil
 	s.paused = !s.lost
 }
 
@@ -172,7 +180,8 @@
 // Parts returns how many parts are there.
 func (c *Course) Parts() int { return c.parts }
 
-// Late returns the shards that should be asked again now.
+// Late returns the shards that should be asked again now: none where so many are late that the cause is load, which second
+// requests would add to.
 func (c *Course) Late(now time.Duration) []int {
 	var late []int
 	for index := range c.shards {
@@ -180,7 +189,13 @@
 			late = append(late, index)
 		}
 	}
-	return late
+	if len(late) <= 1 || float64(len(late)) <= crowdShare*float64(c.plan.Shards) {
+		return late
+	}
+	for _, index := range late {
+		c.shards[index].deniedUntil = now + deniedPause
+	}
+	return nil
 }
 
 // Verdict says whether the query ends now.
