Let a new disk vote before it knows that it has its vote

Cause: a node that was a learner in its own log refused votes, although the candidate's log had made it a voter. If the leader is lost right after that change and one voter lags, no majority is left and nobody leads again. Ruled out: messages that were waiting (none were left), cuts (all healed), and the timing of elections (the state repeats itself).

--- a/pkg/replicator/election.go
+++ b/pkg/replicator/election.go
@@ -35,7 +35,7 @@
 }
 
 func (c *Core) onPreVote(m Message) {
-	granted := m.Term > c.term && !c.leaderIsRecent() && c.upToDate(m) && c.log.config.Voter(c.id)
+	granted := m.Term > c.term && !c.leaderIsRecent() && c.upToDate(m) && c.Member()
 	term := c.term
 	if granted {
 		term = m.Term
@@ -71,7 +71,7 @@
 		return
 	}
 	free := c.vote == "" || c.vote == m.From
-	granted := free && c.upToDate(m) && c.log.config.Voter(c.id)
+	granted := free && c.upToDate(m) && c.Member()
 	if granted {
 		c.vote = m.From
 		c.saveVote()
