Share the retry budget by load, and log what it denies

Cause: the fixed number of a service's budget was divided evenly, so that busy instances denied 20 to 23 repeated requests a query while others had no requests to repeat. Renewals now tell each instance's requests of the window, and bring those of all; a third of the number stays even, half follows the requests, and the rest is room for callers that move together. Ruled out: the bound itself (at most 62 to 74 of 286 repeated requests a service in a window). The answered line names what the budget denied, the refused line the patience of the caller.

--- a/pkg/controller/client.go
+++ b/pkg/controller/client.go
@@ -45,6 +45,10 @@
 		OnRoster func(roster lister.Roster)
 		// OnLease is told when the lease is lost or held again; nil is not told.
 		OnLease func(held bool)
+		// Requests tells how many requests the instance had in the last window; nil counts none.
+		Requests func() int
+		// OnRequests takes how many requests all instances had in it; nil drops that.
+		OnRequests func(all int)
 	}
 
 	// Client renews the lease and passes on the commands of operators.
@@ -237,6 +241,9 @@
 	}
 	view := c.View()
 	query := RenewQuery{Member: c.config.Member, Have: view.Revision(), Roster: c.board.Stamp(), Stamp: c.config.Timeline.Now()}
+	if c.config.Requests != nil {
+		query.Requests = c.config.Requests()
+	}
 	sentAt := c.config.Now()
 	var reply RenewReply
 	if err := peer.call("Renew", query, &reply, renewTimeout); err != nil {
@@ -277,6 +284,9 @@
 		c.config.OnRoster(c.board.Whole())
 	}
 	c.board.Confirm(reply.Reading)
+	if c.config.OnRequests != nil {
+		c.config.OnRequests(reply.Requests)
+	}
 }
 
 func (c *Client) setView(next *tabulator.View) {
--- a/pkg/controller/service.go
+++ b/pkg/controller/service.go
@@ -35,8 +35,11 @@
 		reply.Roster = s.server.config.Board.Since(query.Roster)
 		reply.Reading = s.server.config.Board.Reading()
 	}
-	return s.server.do(func() {
-		s.server.sessions.onReport(query.From, query.Sessions, s.server.config.Now())
+	return s.server.await(func(done func()) {
+		defer done()
+		now := s.server.config.Now()
+		s.server.sessions.onReport(query, now)
+		reply.Requests = s.server.sessions.allRequests(now)
 	})
 }
 
@@ -132,7 +135,9 @@
 			return
 		}
 		id := tabulator.MemberID{Instance: query.Member.Instance, Incarnation: query.Member.Incarnation}
-		s.sessions.onGrant(id, query.Have, s.config.Now())
+		now := s.config.Now()
+		s.sessions.onGrant(id, query.Have, query.Requests, now)
+		reply.Requests = s.sessions.allRequests(now)
 		reply.Granted = true
 		reply.Delta = s.machine.Delta(query.Have)
 		reply.Renewal = s.config.Renewal
--- a/pkg/controller/sessions.go
+++ b/pkg/controller/sessions.go
@@ -30,16 +30,21 @@
 		changes     []uint64
 		removing    map[tabulator.MemberID]time.Duration
 		nextTick    time.Duration
+		// told is how many requests all entry instances had, by the leader's last word.
+		told int
 	}
 
 	session struct {
 		grantedAt time.Duration
 		have      uint64
+		// requests is how many requests the entry instance had in its last window.
+		requests int
 	}
 
 	report struct {
 		at       time.Duration
 		sessions map[uint64]int
+		requests int
 	}
 )
 
@@ -50,8 +55,8 @@
 	}
 }
 
-func (s *sessions) onGrant(id tabulator.MemberID, have uint64, now time.Duration) {
-	s.own[id] = session{grantedAt: now, have: have}
+func (s *sessions) onGrant(id tabulator.MemberID, have uint64, requests int, now time.Duration) {
+	s.own[id] = session{grantedAt: now, have: have, requests: requests}
 }
 
 func (s *sessions) onRole(leading bool, now time.Duration) {
@@ -69,8 +74,8 @@
 	}
 }
 
-func (s *sessions) onReport(from string, counts map[uint64]int, now time.Duration) {
-	s.reports[from] = report{at: now, sessions: counts}
+func (s *sessions) onReport(query ReportQuery, now time.Duration) {
+	s.reports[query.From] = report{at: now, sessions: query.Sessions, requests: query.Requests}
 }
 
 // heard notes a sign of life of a control instance.
@@ -189,7 +194,8 @@
 	err := s.do(func() {
 		leader := instanceOf(s.core.Leader())
 		if p, ok := s.peerOf(leader); ok && leader != s.config.Instance {
-			query := ReportQuery{From: s.config.Instance, Sessions: s.sessions.counts(s.config.Now())}
+			now := s.config.Now()
+			query := ReportQuery{From: s.config.Instance, Sessions: s.sessions.counts(now), Requests: s.sessions.requests(now)}
 			if s.config.Board != nil {
 				query.Roster = s.config.Board.Stamp()
 			}
@@ -207,7 +213,11 @@
 			return
 		}
 		var reply ReportReply
-		if err := t.peer.call("Report", t.query, &reply, reachTimeout); err == nil && s.config.Board != nil {
+		if err := t.peer.call("Report", t.query, &reply, reachTimeout); err != nil {
+			return
+		}
+		_ = s.takeRequests(reply.Requests)
+		if s.config.Board != nil {
 			s.config.Board.Take(reply.Roster)
 			s.config.Board.Confirm(reply.Reading)
 		}
--- a/pkg/controller/size_test.go
+++ b/pkg/controller/size_test.go
@@ -118,7 +118,7 @@
 			s := newSessions("control-1", time.Second)
 			for i := range members {
 				fields := member(i)
-				s.onGrant(tabulator.MemberID{Instance: fields.Instance, Incarnation: fields.Incarnation}, 1, time.Second)
+				s.onGrant(tabulator.MemberID{Instance: fields.Instance, Incarnation: fields.Incarnation}, 1, 0, time.Second)
 			}
 			for b.Loop() {
 				s.tick(server)
--- a/pkg/controller/wire.go
+++ b/pkg/controller/wire.go
@@ -23,13 +23,17 @@
 	ReportQuery struct {
 		From     string
 		Sessions map[uint64]int
+		// Requests is how many requests the sessions had in the last window.
+		Requests int
 		Roster   lister.RosterStamp
 	}
 
-	// ReportReply brings the list of leafs where the leader has a newer one, and tells how old its reading is.
+	// ReportReply brings the list of leafs where the leader has a newer one, tells how old its reading is, and how many
+	// requests all entry instances had in the last window.
 	ReportReply struct {
-		Roster  *lister.Roster
-		Reading lister.Reading
+		Roster   *lister.Roster
+		Reading  lister.Reading
+		Requests int
 	}
 
 	// AnnounceQuery asks for a place in the replicated log.
@@ -47,8 +51,10 @@
 	RenewQuery struct {
 		Member tabulator.MemberFields
 		Have   uint64
-		Roster lister.RosterStamp
-		Stamp  timeliner.Stamp
+		// Requests is how many requests the instance had in the last window.
+		Requests int
+		Roster   lister.RosterStamp
+		Stamp    timeliner.Stamp
 	}
 
 	// RenewReply grants a lease and brings the view up to date.
@@ -58,9 +64,11 @@
 		Delta   tabulator.Delta
 		Roster  *lister.Roster
 		Reading lister.Reading
-		Control []string
-		Renewal time.Duration
-		Stamp   timeliner.Stamp
+		// Requests is how many requests all entry instances had in the last window, 0 where that is not known.
+		Requests int
+		Control  []string
+		Renewal  time.Duration
+		Stamp    timeliner.Stamp
 	}
 
 	// ProposeQuery asks for a command to be put into the log.
--- a/pkg/gatekeeper/counters.go
+++ b/pkg/gatekeeper/counters.go
@@ -19,6 +19,8 @@
 	complete      *metrics.Counter
 	passed        *metrics.Counter
 	callerLeft    *metrics.Counter
+	noLeaf        *metrics.Counter
+	overBudget    *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -32,6 +34,18 @@
 		complete:      set.NewCounter(`gatekeeper_answers_total{kind="complete"}`),
 		passed:        set.NewCounter(`gatekeeper_answers_total{kind="passed"}`),
 		callerLeft:    set.NewCounter("gatekeeper_callers_left_total"),
+		noLeaf:        set.NewCounter(`gatekeeper_attempts_denied_total{reason="no leaf"}`),
+		overBudget:    set.NewCounter(`gatekeeper_attempts_denied_total{reason="budget"}`),
+	}
+}
+
+// denied counts an attempt that was not begun.
+func (c *counters) denied(why denial) {
+	switch why {
+	case denialNoLeaf:
+		c.noLeaf.Inc()
+	case denialBudget:
+		c.overBudget.Inc()
 	}
 }
 
--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -28,9 +28,12 @@
 
 type (
 	fleet struct {
-		config      *exchanger.Config
-		log         logr.Logger
-		budget      hedger.SharedBound
+		config *exchanger.Config
+		log    logr.Logger
+		budget hedger.SharedBound
+		load   *hedger.Load
+		// allRequests is how many requests all instances had in the window of the budget, 0 where that is not known.
+		allRequests int
 		centre      string
 		now         func() time.Duration
 		mu          sync.Mutex
@@ -72,7 +75,8 @@
 
 func newFleet(exchange *exchanger.Config, config Config) *fleet {
 	f := &fleet{
-		config: exchange, log: config.Log, tell: config.Tell, budget: config.Budget, self: config.Instance, centre: config.DataCentre, now: config.Now,
+		config: exchange, log: config.Log, tell: config.Tell, budget: config.Budget,
+		load: hedger.NewLoad(config.Budget.Window), self: config.Instance, centre: config.DataCentre, now: config.Now,
 		random: config.Random, instances: 1,
 		services: map[string]*service{}, leafs: map[string]*upstream{}, kinds: map[string]*kind{}, out: map[string]bool{},
 		seen: map[string]lastSeen{}, instanceSet: placer.InstanceSet{DataCentre: config.DataCentre, Instances: map[string]int{config.DataCentre: 1}},
@@ -170,7 +174,7 @@
 		if old := f.services[name]; old != nil {
 			s.allowance = old.allowance
 		} else {
-			s.allowance = hedger.NewAllowance(f.budget, f.instances, f.random.Float64(), f.now())
+			s.allowance = hedger.NewAllowance(f.budget, f.budgetPart(), f.random.Float64(), f.now())
 		}
 		services[name] = s
 	}
--- a/pkg/gatekeeper/fleet_attempts.go
+++ b/pkg/gatekeeper/fleet_attempts.go
@@ -21,6 +21,15 @@
 	needAny
 )
 
+const (
+	// denialNone stands beside an attempt that was begun.
+	denialNone denial = iota
+	// denialNoLeaf means that no leaf of the service would do.
+	denialNoLeaf
+	// denialBudget means that the service gets no further repeated request from this instance at the moment.
+	denialBudget
+)
+
 const (
 	// firstTypical and firstLate are the parts of the objective that are assumed before the first answers: an instance that
 	// has just started opens connections and would take every request for late.
@@ -49,6 +58,9 @@
 	// need says which leafs will do for a request.
 	need int
 
+	// denial says why no attempt was begun.
+	denial int
+
 	// attempt is one request at one leaf.
 	attempt struct {
 		id       uint64
@@ -94,40 +106,31 @@
 	return max(k.typical, min(k.late.Value(), patient, latest-time.Duration(hedgeReserve*float64(k.typical))))
 }
 
-// countRequests counts one request for each of the services, however often it is tried.
-func (f *fleet) countRequests(services []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	for _, name := range services {
-		if s := f.services[name]; s != nil {
-			s.allowance.OnRequest(now)
-		}
-	}
-}
-
 // begin picks a leaf of the service. An attempt after another one that arrived at a leaf, or may have, is within the budget
 // of repeated requests.
-func (f *fleet) begin(route *router.Route, serviceName string, tried []*placer.Leaf, need need, arrived bool) *attempt {
+func (f *fleet) begin(route *router.Route, serviceName string, tried []*placer.Leaf, need need, arrived bool) (*attempt, denial) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.services[serviceName]
 	if s == nil {
-		return nil
+		return nil, denialNoLeaf
 	}
 	now := f.now()
 	leaf := placer.Choose(s.states, placer.Wish{
 		Now: now, DataCentre: f.centre, Out: func(centre string) bool { return f.out[centre] },
 		Tried: tried, Sound: need == needSound, Beyond: need == needAny, Tie: f.random.Float64(),
 	})
-	if leaf == nil || arrived && !s.allowance.Take(now) {
-		return nil
+	if leaf == nil {
+		return nil, denialNoLeaf
+	}
+	if arrived && !s.allowance.Take(now) {
+		return nil, denialBudget
 	}
 	f.lastID++
 	a := &attempt{id: f.lastID, upstream: s.upstreamOf(leaf), kind: f.kindOf(route), begun: now, isExtra: arrived}
 	a.expected = leaf.Expected(a.kind.typical, now)
 	leaf.OnSend(a.id, a.kind.typical, now)
-	return a
+	return a, denialNone
 }
 
 // picture returns what is known of the leaf of an attempt.
--- /dev/null
+++ b/pkg/gatekeeper/fleet_budget.go
@@ -0,0 +1,44 @@
+// The retry budget of a service is shared by what each instance has to do.
+
+package gatekeeper
+
+import "lovagedeck/pkg/hedger"
+
+// countRequests counts one request for each of the services, however often it is tried.
+func (f *fleet) countRequests(services []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.load.OnRequest(now)
+	for _, name := range services {
+		if s := f.services[name]; s != nil {
+			s.allowance.OnRequest(now)
+		}
+	}
+}
+
+// requests returns how many requests this instance had in the window of the budget.
+func (f *fleet) requests() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.load.Requests(f.now())
+}
+
+// setAllRequests takes how many requests all instances had, and shares the budget by it.
+func (f *fleet) setAllRequests(all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.allRequests = all
+	f.shareBudget()
+}
+
+func (f *fleet) shareBudget() {
+	part := f.budgetPart()
+	for _, s := range f.services {
+		s.allowance.Share(f.budget, part)
+	}
+}
+
+func (f *fleet) budgetPart() float64 {
+	return hedger.Part(f.load.Requests(f.now()), f.allRequests, f.instances)
+}
--- a/pkg/gatekeeper/fleet_connections.go
+++ b/pkg/gatekeeper/fleet_connections.go
@@ -32,8 +32,8 @@
 
 // share splits the connections of each leaf and the budget of each service over the instances.
 func (f *fleet) share() {
+	f.shareBudget()
 	for _, s := range f.services {
-		s.allowance.Share(f.budget, f.instances)
 		locations := make([]placer.Location, 0, len(s.upstreams))
 		for _, m := range s.upstreams {
 			if fields := m.leaf.Fields(); !fields.Leaving {
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -152,6 +152,12 @@
 		"sequence", roster.Stamp.Sequence, "age-ms", roster.Age.Milliseconds())
 }
 
+// Requests returns how many requests came within the window of the retry budget.
+func (g *Gatekeeper) Requests() int { return g.fleet.requests() }
+
+// SetAllRequests takes how many requests came to all instances within the window of the retry budget.
+func (g *Gatekeeper) SetAllRequests(all int) { g.fleet.setAllRequests(all) }
+
 // TakeObservations takes what other instances saw of leafs.
 func (g *Gatekeeper) TakeObservations(observations []spreader.Observation) {
 	g.fleet.takeObservations(observations)
--- a/pkg/gatekeeper/plain.go
+++ b/pkg/gatekeeper/plain.go
@@ -106,10 +106,12 @@
 	g := f.gate
 	var a *attempt
 	if len(f.tried) < maxForwards {
-		a = g.fleet.begin(f.in.route, f.service, f.tried, need, f.arrived)
+		var why denial
+		a, why = g.fleet.begin(f.in.route, f.service, f.tried, need, f.arrived)
 		if a == nil && need == needReady {
-			a = g.fleet.begin(f.in.route, f.service, f.tried, needAny, f.arrived)
+			a, why = g.fleet.begin(f.in.route, f.service, f.tried, needAny, f.arrived)
 		}
+		g.counters.denied(why)
 	}
 	if a == nil {
 		f.course.OnDenied(onlyShard, g.config.Now())
@@ -232,6 +234,7 @@
 	refused := refusal{
 		id: in.id, status: http.StatusServiceUnavailable, retryAfter: retryFull, reason: f.last.reason,
 		route: in.route.Name(), version: in.table.Version(), took: time.Since(in.arrived), asked: len(f.tried),
+		patience: in.deadline.Sub(in.arrived),
 	}
 	if f.last.ran {
 		refused.status, refused.retryAfter = http.StatusBadGateway, 0
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -39,7 +39,9 @@
 		top      *gatherer.Top
 		proofs   []string
 		extra    int
-		due      time.Duration
+		// overBudget counts the repeated requests that the budget did not allow.
+		overBudget int
+		due        time.Duration
 	}
 
 	exchangeEnd struct {
@@ -169,8 +171,12 @@
 
 // place chooses a leaf for the shard, or returns nil.
 func (q *query) place(shard int, need need) *attempt {
-	a := q.gate.fleet.begin(q.in.route, q.shards[shard], q.tried[shard], need, q.arrived[shard])
+	a, why := q.gate.fleet.begin(q.in.route, q.shards[shard], q.tried[shard], need, q.arrived[shard])
+	q.gate.counters.denied(why)
 	if a == nil {
+		if why == denialBudget {
+			q.overBudget++
+		}
 		return nil
 	}
 	if a.isExtra {
@@ -293,14 +299,14 @@
 	_, _ = w.Write(body)
 	g.counters.duration("scatter").Update(took.Seconds())
 	g.config.Log.Info("gatekeeper: answered", "request", q.in.id, "route", q.in.route.Name(), "version", q.in.table.Version(),
-		"parts", q.course.Parts(), "missing", q.missing(), "extra", q.extra, "took-ms", took.Milliseconds(),
+		"parts", q.course.Parts(), "missing", q.missing(), "extra", q.extra, "over-budget", q.overBudget, "took-ms", took.Milliseconds(),
 		"objective-ms", q.in.route.Objective().Milliseconds())
 }
 
 func (q *query) fail(w http.ResponseWriter, status int, reason string, took time.Duration) {
 	q.gate.refuse(w, refusal{
 		id: q.in.id, status: status, reason: reason, route: q.in.route.Name(), version: q.in.table.Version(), took: took,
-		asked: len(q.shards) + q.extra,
+		asked: len(q.shards) + q.extra, patience: q.in.deadline.Sub(q.in.arrived),
 	})
 }
 
--- a/pkg/gatekeeper/start.go
+++ b/pkg/gatekeeper/start.go
@@ -46,7 +46,8 @@
 // request and returns nil.
 func (g *Gatekeeper) awaitStart(w http.ResponseWriter, r *http.Request, id string) *router.Table {
 	begun := time.Now()
-	plan := planStart(g.config.Now(), patience(r.Header, g.config.Headers.TimeLeft), rand.Float64())
+	waits := patience(r.Header, g.config.Headers.TimeLeft)
+	plan := planStart(g.config.Now(), waits, rand.Float64())
 	timer := time.NewTimer(plan.wait)
 	defer timer.Stop()
 	if plan.wait > 0 {
@@ -59,7 +60,7 @@
 	}
 	g.refuse(w, refusal{
 		id: id, status: http.StatusServiceUnavailable, retryAfter: plan.retryAfter,
-		reason: "the routes or the leafs are not known yet", took: time.Since(begun),
+		reason: "the routes or the leafs are not known yet", took: time.Since(begun), patience: waits,
 	})
 	return nil
 }
--- a/pkg/hedger/allowance.go
+++ b/pkg/hedger/allowance.go
@@ -2,7 +2,7 @@
 // again within any window, and a fixed number on top. Each instance counts its
 // own requests in the last window and keeps to its part of the bound there:
 //
-//	a fifth and 214 in 10 s, 87 instances, 5 requests in the window:  2.3 + 0.95, so three or four again
+//	a fifth and 214 in 10 s, an even part of 87, 5 requests in the window:  2.3 + 0.95, so three or four again
 //
 // A part below one is rounded up at some instances and down at others.
 
@@ -33,8 +33,9 @@
 
 	// Allowance bounds the repeated requests of one service at one instance.
 	Allowance struct {
-		bound     SharedBound
-		instances int
+		bound SharedBound
+		// part is this instance's part of the fixed number.
+		part float64
 		// rounding is uniform in [0,1): the sum over all instances keeps to the bound, while each repeats whole requests.
 		rounding float64
 		began    time.Duration
@@ -49,13 +50,13 @@
 	}
 )
 
-// NewAllowance returns the allowance of a new instance; rounding is uniform in [0,1).
-func NewAllowance(bound SharedBound, instances int, rounding float64, now time.Duration) *Allowance {
-	return &Allowance{bound: bound, instances: instances, rounding: rounding, began: now}
+// NewAllowance returns the allowance of a new instance with its part of the fixed number; rounding is uniform in [0,1).
+func NewAllowance(bound SharedBound, part, rounding float64, now time.Duration) *Allowance {
+	return &Allowance{bound: bound, part: part, rounding: rounding, began: now}
 }
 
-// Share sets among how many instances the common bound is divided.
-func (a *Allowance) Share(bound SharedBound, instances int) { a.bound, a.instances = bound, instances }
+// Share sets the bound, and the part of its fixed number that this instance has.
+func (a *Allowance) Share(bound SharedBound, part float64) { a.bound, a.part = bound, part }
 
 // OnRequest counts a first request.
 func (a *Allowance) OnRequest(now time.Duration) { a.requests.add(a.step(now), 1) }
@@ -74,16 +75,14 @@
 func (a *Allowance) Return(now time.Duration) { a.repeated.add(a.step(now), -1) }
 
 func (a *Allowance) limit(step int64, now time.Duration) float64 {
-	fixed := a.bound.Slack / float64(max(1, a.instances))
+	fixed := a.bound.Slack * a.part
 	if now-a.began < a.bound.Window {
 		fixed *= firstShare
 	}
 	return allowanceMargin * (fixed + a.bound.Ratio*float64(a.requests.sum(step)))
 }
 
-func (a *Allowance) step(now time.Duration) int64 {
-	return int64(now / max(1, a.bound.Window/steps))
-}
+func (a *Allowance) step(now time.Duration) int64 { return stepOf(now, a.bound.Window) }
 
 func (w *window) add(step int64, count int) {
 	w.forward(step)
--- a/pkg/hedger/hedger_test.go
+++ b/pkg/hedger/hedger_test.go
@@ -40,7 +40,7 @@
 		random := rand.New(rand.NewPCG(1, uint64(instances)))
 		allowances := make([]*Allowance, instances)
 		for i := range allowances {
-			allowances[i] = NewAllowance(bound, instances, random.Float64(), 0)
+			allowances[i] = NewAllowance(bound, 1/float64(instances), random.Float64(), 0)
 		}
 		var taken []time.Duration
 		arrivals := 0.0
@@ -55,14 +55,7 @@
 			}
 		}
 		limit := bound.Ratio*perSecond*bound.Window.Seconds() + bound.Slack
-		most := 0
-		for first, at := range taken {
-			last := first
-			for last < len(taken) && taken[last] <= at+bound.Window {
-				last++
-			}
-			most = max(most, last-first)
-		}
+		most := mostInWindow(taken, bound.Window)
 		if float64(most) > limit {
 			t.Errorf("%d instances: %d repeated requests in %v, more than %.0f", instances, most, bound.Window, limit)
 		}
@@ -72,10 +65,94 @@
 	}
 }
 
+// Leafs of many shards are silent for seconds while callers stay with a third of the instances, and move on together in the
+// middle. The count of all requests comes from the control instances and is half a second old.
+func TestAllowancesFollowTheLoad(t *testing.T) {
+	const (
+		instances, busy, perSecond = 87, 29, 45
+		step, lag                  = 10 * time.Millisecond, 500 * time.Millisecond
+		moveAt, end                = 25 * time.Second, 50 * time.Second
+	)
+	bound := SharedBound{Ratio: 0.2, Slack: 214, Window: 10 * time.Second}
+	random := rand.New(rand.NewPCG(1, 1))
+	allowances, loads := make([]*Allowance, instances), make([]*Load, instances)
+	for i := range allowances {
+		allowances[i], loads[i] = NewAllowance(bound, 1.0/instances, random.Float64(), 0), NewLoad(bound.Window)
+	}
+	var taken []time.Duration
+	first, all, arrivals := 0, 0, 0.0
+	for now := time.Duration(0); now < end; now += step {
+		if now == moveAt {
+			first = busy
+		}
+		for arrivals += perSecond * step.Seconds(); arrivals >= 1; arrivals-- {
+			i := first + random.IntN(busy)
+			allowances[i].OnRequest(now)
+			loads[i].OnRequest(now)
+		}
+		for i, allowance := range allowances {
+			allowance.Share(bound, Part(loads[i].Requests(now), all, instances))
+			if i >= first && i < first+busy {
+				for allowance.Take(now) {
+					taken = append(taken, now)
+				}
+			}
+		}
+		if now%lag == 0 {
+			all = 0
+			for _, load := range loads {
+				all += load.Requests(now)
+			}
+		}
+	}
+	limit := bound.Ratio*perSecond*bound.Window.Seconds() + bound.Slack
+	if most := mostInWindow(taken, bound.Window); float64(most) > limit {
+		t.Errorf("%d repeated requests in %v, more than %.0f", most, bound.Window, limit)
+	}
+	if perWindow := float64(len(taken)) * bound.Window.Seconds() / end.Seconds(); perWindow < 0.5*limit {
+		t.Errorf("only %.0f repeated requests in %v of %.0f", perWindow, bound.Window, limit)
+	}
+}
+
+func TestPart(t *testing.T) {
+	cases := []struct {
+		name                string
+		own, all, instances int
+		least, most         float64
+	}{
+		{"nothing known of the others", 5, 0, 87, 1.0 / 87, 1.0 / 87},
+		{"no requests here", 0, 600, 87, 0.2 / 87, 0.4 / 87},
+		{"as many as the others", 7, 7 * 87, 87, 0.79 / 87, 0.81 / 87},
+		{"more than the others", 40, 600, 87, 3.0 / 87, 4.0 / 87},
+		{"a count of all that lags behind", 10, 1, 87, 0, 6.0 / 87},
+		{"the only instance", 10, 10, 1, 0.8, 0.8},
+		{"no instance is known", 0, 0, 0, 1, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := Part(c.own, c.all, c.instances); got < c.least-1e-9 || got > c.most+1e-9 {
+				t.Errorf("got %.4f, want %.4f to %.4f", got, c.least, c.most)
+			}
+		})
+	}
+}
+
+func mostInWindow(taken []time.Duration, span time.Duration) int {
+	most := 0
+	for first, at := range taken {
+		last := first
+		for last < len(taken) && taken[last] <= at+span {
+			last++
+		}
+		most = max(most, last-first)
+	}
+	return most
+}
+
 // Answers of many leafs are lost: an instance that sends a service one request every two seconds repeats several in a row.
 func TestAllowanceOfRareRequests(t *testing.T) {
 	bound := SharedBound{Ratio: 0.2, Slack: 214, Window: 10 * time.Second}
-	allowance := NewAllowance(bound, 87, 0.5, 0)
+	allowance := NewAllowance(bound, 1.0/87, 0.5, 0)
 	now := time.Minute
 	taken := 0
 	for range 5 {
--- a/pkg/steward/entry.go
+++ b/pkg/steward/entry.go
@@ -77,6 +77,7 @@
 		Addresses: settings.seeds(), Linker: linker.New(secret), Now: e.now,
 		Random: rand.New(rand.NewPCG(seed, 2)), Timeline: timeliner.New(settings.Instance, time.Now),
 		OnView: e.setView, OnRoster: e.gate.SetRoster, OnLease: e.onLease,
+		Requests: e.gate.Requests, OnRequests: e.gate.SetAllRequests,
 	})
 	listener, err := net.Listen("tcp", settings.Callers)
 	if err != nil {
