Avoid leafs that lose answers for longer, and at once for requests that must not run twice

Cause: a lost answer faded within two seconds and weighed less than a connection to a leaf of another data centre, so that leafs known to fail got five requests a second each. Faults fade in five seconds and weigh half as much again; for a request that must not run twice they weigh ten times as much, since its failure is the caller's.

--- a/pkg/gatekeeper/fleet_attempts.go
+++ b/pkg/gatekeeper/fleet_attempts.go
@@ -118,7 +118,7 @@
 	now := f.now()
 	leaf := placer.Choose(s.states, placer.Wish{
 		Now: now, DataCentre: f.centre, Out: func(centre string) bool { return f.out[centre] },
-		Tried: tried, Sound: need == needSound, Beyond: need == needAny, Tie: f.random.Float64(),
+		Tried: tried, Once: !route.Idempotent(), Sound: need == needSound, Beyond: need == needAny, Tie: f.random.Float64(),
 	})
 	if leaf == nil {
 		return nil, denialNoLeaf
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	// faultWeight turns a share of faults into lost time: a failed request costs about four typical times.
-	faultWeight = 4.0
+	// faultWeight turns a share of faults into lost time: a failed request costs its own time, that of another one, and one of
+	// few attempts.
+	faultWeight = 6.0
+	// onceFaultWeight is that of a request that must not run twice: its failure is the caller's.
+	onceFaultWeight = 40.0
 	// distantWeight prefers a leaf of the own data centre where the others are no better.
 	distantWeight = 0.15
 	// foreignCost is what a request to a leaf without a kept connection costs: it opens one in about 10 ms, of 28 usual.
@@ -34,6 +37,8 @@
 		Tried []*Leaf
 		// Sound leaves out leafs that are stalled, away, cold or leaving.
 		Sound bool
+		// Once tells that the request cannot be sent again after a failure.
+		Once bool
 		// Beyond allows leafs that have as many requests as they answer in time.
 		Beyond bool
 		// Tie is uniform in [0,1) and decides between equals.
@@ -85,7 +90,7 @@
 	now := wish.Now
 	slots := float64(max(1, l.fields.Slots))
 	cost := l.slownessAt(now) * (1 + float64(len(l.running))/slots)
-	cost += faultWeight * l.faultsNow(now)
+	cost += wish.faultWeight() * l.faultsNow(now)
 	if l.fields.DataCentre != wish.DataCentre {
 		cost += distantWeight
 	}
@@ -107,6 +112,13 @@
 	return cost
 }
 
+func (w Wish) faultWeight() float64 {
+	if w.Once {
+		return onceFaultWeight
+	}
+	return faultWeight
+}
+
 func fade(age, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(max(0, age)) / float64(halfLife))
 }
--- a/pkg/placer/leaf.go
+++ b/pkg/placer/leaf.go
@@ -16,9 +16,9 @@
 	lowestSlowness  = 0.3
 	highestSlowness = 30.0
 	// faultGain is the weight of one outcome in the running share of faults.
-	faultGain = 0.3
-	// faultHalfLife is how fast an old share of faults fades.
-	faultHalfLife = 2 * time.Second
+	faultGain = 0.4
+	// faultHalfLife is how fast an old share of faults fades: faults of leafs last for 4 to 8 s.
+	faultHalfLife = 5 * time.Second
 	// awayFirst and awayLongest bound the time without requests after a leaf could not be reached or was silent.
 	awayFirst   = 100 * time.Millisecond
 	awayLongest = 1600 * time.Millisecond
