Leave leafs alone that answer nothing until the answer is due

Cause: a request that was given up raised the slowness by a quarter only, which faded within two seconds, and the leaf no longer counted as stalled once nothing ran there. Such a leaf is now away, for longer each time; a spell that outlasts a pause weighs more, and slowness fades in four seconds.

--- a/pkg/placer/leaf.go
+++ b/pkg/placer/leaf.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// slownessGain is the weight of one answer in the running slowness.
+	// slownessGain is the weight of one answer in the running slowness, spellGain that of a slow answer in a spell that
+	// outlasts a pause.
 	slownessGain = 0.25
-	// slownessHalfLife is how fast an old slowness fades towards normal, so that a leaf that was slow is tried again.
-	slownessHalfLife = 2 * time.Second
+	spellGain    = 0.6
+	// slownessHalfLife is how fast an old slowness fades towards normal, so that a leaf that was slow is tried again: spells
+	// last for 6 to 8 s.
+	slownessHalfLife = 4 * time.Second
 	// lowestSlowness and highestSlowness bound what one answer can claim.
 	lowestSlowness  = 0.3
 	highestSlowness = 30.0
@@ -192,8 +195,8 @@
 		l.away = 0
 		l.awayUntil = 0
 		ratio := float64(took) / float64(max(typical, time.Millisecond))
-		l.learnSlowness(ratio, now)
 		l.noteSlow(ratio, now)
+		l.learnSlowness(ratio, now)
 		l.learnFault(0, now)
 		l.limit = min(firstLimit, l.limit+limitGain)
 	case Full:
@@ -214,12 +217,18 @@
 	}
 }
 
-// OnLate notes that a request took at least this long and was given up for another reason than silence.
+// OnLate notes that a request took at least this long and was given up, since it is late or another leaf answered. A leaf
+// that answered nothing in all that time is left alone for a moment, and for longer each time.
 func (l *Leaf) OnLate(id uint64, took, typical, now time.Duration) {
+	sent, known := l.running[id]
 	delete(l.running, id)
 	l.learnLate(took, typical, now)
-	if took > time.Duration(stallFactor*float64(typical)) {
-		l.cutLimit()
+	if took <= time.Duration(stallFactor*float64(typical)) {
+		return
+	}
+	l.cutLimit()
+	if known && l.lastAnswerAt <= sent {
+		l.goAway(now)
 	}
 }
 
@@ -240,12 +249,12 @@
 
 func (l *Leaf) learnLate(took, typical, now time.Duration) {
 	ratio := float64(took) / float64(max(typical, time.Millisecond))
-	if ratio > l.slownessAt(now) {
-		l.learnSlowness(ratio, now)
-	}
 	if ratio >= slowRatio {
 		l.noteSlow(ratio, now)
 	}
+	if ratio > l.slownessAt(now) {
+		l.learnSlowness(ratio, now)
+	}
 }
 
 // Stalled tells whether the leaf has not answered anything for several typical times although it should have.
@@ -268,7 +277,11 @@
 func (l *Leaf) learnSlowness(ratio float64, now time.Duration) {
 	ratio = max(lowestSlowness, min(ratio, highestSlowness))
 	present := l.slownessAt(now)
-	l.slowness = present + slownessGain*(ratio-present)
+	gain := slownessGain
+	if l.slow && now-l.slowSince >= longestPause {
+		gain = spellGain
+	}
+	l.slowness = present + gain*(ratio-present)
 	l.slowAt = now
 }
 
--- a/pkg/placer/observation_test.go
+++ b/pkg/placer/observation_test.go
@@ -93,3 +93,50 @@
 		t.Error("a usual answer is news")
 	}
 }
+
+// Leafs of many shards fall silent or turn slow for six seconds; each of many instances sends one of them a request now and
+// then, and gives it up when the answer is due.
+func TestSilentLeafStaysBehindOthers(t *testing.T) {
+	const due = 6 * usual
+	fields := Fields{ID: "silent", DataCentre: "a", Slots: 2}
+	now := time.Minute
+	known := New(fields, 0, 0)
+	for range 3 {
+		now += 400 * time.Millisecond
+		instance := New(fields, 0, 0)
+		if news, ok := known.News(now - due); ok {
+			instance.Take(news)
+		}
+		instance.OnSend(1, usual, now-due)
+		instance.OnLate(1, due, usual, now)
+		if !instance.Away(now) {
+			t.Fatal("a leaf that answered nothing until the answer was due is asked again at once")
+		}
+		known = instance
+	}
+	news, ok := known.News(now)
+	if !ok {
+		t.Fatal("a silent leaf is no news")
+	}
+	observer, other := New(fields, 0, 0), New(Fields{ID: "other", DataCentre: "b", Slots: 2}, 0, 0)
+	observer.Take(news)
+	other.SetHome(false)
+	for _, busy := range []uint64{1, 2} {
+		other.OnSend(busy, usual, now+3*time.Second)
+	}
+	if leaf := Choose([]*Leaf{observer, other}, Wish{Now: now + 3*time.Second, DataCentre: "a"}); leaf != other {
+		t.Errorf("three seconds later the silent leaf is preferred to a busy one (slowness %.1f)", observer.slownessAt(now+3*time.Second))
+	}
+}
+
+func TestLeafThatAnswersOthersIsNotLeftAlone(t *testing.T) {
+	leaf := New(Fields{ID: "a", Slots: 2}, 0, 0)
+	now := time.Minute
+	leaf.OnSend(1, usual, now)
+	leaf.OnSend(2, usual, now)
+	leaf.OnEnd(2, Answered, usual, usual, now+usual)
+	leaf.OnLate(1, 6*usual, usual, now+6*usual)
+	if leaf.Away(now + 6*usual) {
+		t.Error("a leaf that answered another request meanwhile is left alone")
+	}
+}
