Keep connections only at instances that have requests

Cause: each of 87 instances kept one connection to a leaf of each shard, though callers stay with about 50 of them; old and new ones together reached the limit of a leaf, and second requests were reset.

--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -34,6 +34,8 @@
 		load   *hedger.Load
 		// allRequests is how many requests all instances had in the window of the budget, 0 where that is not known.
 		allRequests int
+		// active tells that requests came lately: only such an instance keeps connections to leafs.
+		active      bool
 		centre      string
 		now         func() time.Duration
 		mu          sync.Mutex
--- a/pkg/gatekeeper/fleet_budget.go
+++ b/pkg/gatekeeper/fleet_budget.go
@@ -10,6 +10,10 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.load.OnRequest(now)
+	if !f.active {
+		f.active = true
+		f.share()
+	}
 	for _, name := range services {
 		if s := f.services[name]; s != nil {
 			s.allowance.OnRequest(now)
@@ -30,6 +34,10 @@
 	defer f.mu.Unlock()
 	f.allRequests = all
 	f.shareBudget()
+	if f.active && f.load.Requests(f.now()) == 0 {
+		f.active = false
+		f.share()
+	}
 }
 
 func (f *fleet) shareBudget() {
--- a/pkg/gatekeeper/fleet_connections.go
+++ b/pkg/gatekeeper/fleet_connections.go
@@ -44,9 +44,12 @@
 		for _, m := range s.upstreams {
 			limit, home := limits[m.leaf.Fields().ID]
 			m.leaf.SetHome(home)
-			if home {
+			switch {
+			case home && f.active:
 				m.pool.SetLimit(limit, warmConnections, spareIdle)
-			} else {
+			case home:
+				m.pool.SetLimit(limit, 0, spareIdle)
+			default:
 				m.pool.SetLimit(1, 0, foreignIdle)
 			}
 		}
@@ -91,7 +94,7 @@
 func (f *fleet) coldPools() []*exchanger.Pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.table == nil {
+	if f.table == nil || !f.active {
 		return nil
 	}
 	var pools []*exchanger.Pool
--- a/pkg/gatekeeper/fleet_connections_test.go
+++ b/pkg/gatekeeper/fleet_connections_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
+	"time"
 
 	"lovagedeck/pkg/placer"
+	"lovagedeck/pkg/router"
 )
 
 // All instances lose power: a leaf still counts the connections that they kept while their successors open as many.
@@ -48,3 +51,28 @@
 		})
 	}
 }
+
+// Callers stay with a part of the instances, and then all instances lose power: leafs go on counting connections that nobody
+// used, and reset those that are needed.
+func TestOnlyInstancesWithRequestsKeepConnections(t *testing.T) {
+	tier := newTier(t, "card")
+	fleet := tier.gate.fleet
+	tier.route(router.RouteFields{Name: "card", Service: "card", Attempts: 1})
+	if pools := fleet.coldPools(); len(pools) != 0 {
+		t.Errorf("%d leafs get a connection before the first request", len(pools))
+	}
+	if response, _ := tier.ask(http.MethodGet, "/p/x", nil); response == nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("got %v, want an answer", response)
+	}
+	if pools := fleet.coldPools(); len(pools) != 1 {
+		t.Errorf("%d leafs get a connection while requests come, want 1", len(pools))
+	}
+	fleet.mu.Lock()
+	now := fleet.now
+	fleet.now = func() time.Duration { return now() + 2*fleet.budget.Window }
+	fleet.mu.Unlock()
+	fleet.setAllRequests(7)
+	if pools := fleet.coldPools(); len(pools) != 0 {
+		t.Errorf("%d leafs get a connection after a window without requests", len(pools))
+	}
+}
