Open connections ahead from the first request on, or five seconds after the start

What matters is the time just after a loss of all instances, so an instance without requests opens connections ahead five seconds after its start, and keeps them. The change to the pool is taken back.

--- a/pkg/exchanger/pool.go
+++ b/pkg/exchanger/pool.go
@@ -82,23 +82,7 @@
 func (p *Pool) SetLimit(limit, kept int, idle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	fewer := kept < p.kept
 	p.limit, p.kept, p.spareIdle = max(1, limit), kept, idle
-	if !fewer {
-		return
-	}
-	for _, c := range p.idle {
-		p.closeIfSpare(c)
-	}
-}
-
-// closeIfSpare closes an idle connection after a while, where others suffice.
-func (p *Pool) closeIfSpare(c *conn) {
-	if len(p.open) <= p.kept {
-		return
-	}
-	since := c.idleSince
-	time.AfterFunc(p.spareIdle, func() { c.closeIfSpareSince(since) })
 }
 
 // Load returns how many requests run and how many wait for a connection.
@@ -344,7 +328,10 @@
 		c.idleSince = time.Now()
 		c.idleUntil = c.idleSince.Add(c.keepAlive)
 		p.idle = append(p.idle, c)
-		p.closeIfSpare(c)
+		if len(p.open) > p.kept {
+			since := c.idleSince
+			time.AfterFunc(p.spareIdle, func() { c.closeIfSpareSince(since) })
+		}
 		p.mu.Unlock()
 		return
 	}
--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -34,8 +34,9 @@
 		load   *hedger.Load
 		// allRequests is how many requests all instances had in the window of the budget, 0 where that is not known.
 		allRequests int
-		// active tells that requests came lately: only such an instance keeps connections to leafs.
-		active      bool
+		// opensAhead tells that connections are opened before a request needs them: from the first request on, or some time
+		// after the start.
+		opensAhead  bool
 		centre      string
 		now         func() time.Duration
 		mu          sync.Mutex
@@ -85,6 +86,7 @@
 		warming: make(chan struct{}, 1),
 	}
 	go f.warmLoop()
+	time.AfterFunc(warmAfter, f.openAhead)
 	return f
 }
 
--- a/pkg/gatekeeper/fleet_budget.go
+++ b/pkg/gatekeeper/fleet_budget.go
@@ -10,9 +10,9 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	f.load.OnRequest(now)
-	if !f.active {
-		f.active = true
-		f.share()
+	if !f.opensAhead {
+		f.opensAhead = true
+		f.wantWarm()
 	}
 	for _, name := range services {
 		if s := f.services[name]; s != nil {
@@ -34,10 +34,6 @@
 	defer f.mu.Unlock()
 	f.allRequests = all
 	f.shareBudget()
-	if f.active && f.load.Requests(f.now()) == 0 {
-		f.active = false
-		f.share()
-	}
 }
 
 func (f *fleet) shareBudget() {
--- a/pkg/gatekeeper/fleet_connections.go
+++ b/pkg/gatekeeper/fleet_connections.go
@@ -26,6 +26,10 @@
 	warmPause = 8 * time.Millisecond
 	// defaultConnections is assumed of a service that states no limit.
 	defaultConnections = 16
+	// warmAfter is how long an instance that gets no requests waits before it opens connections ahead: after a loss of all
+	// instances leafs count the connections of the lost ones for about five seconds, and callers come to half of the
+	// instances in that time.
+	warmAfter = 5 * time.Second
 	// warmConnections are opened ahead to each home of a service in use.
 	warmConnections = 1
 )
@@ -44,12 +48,9 @@
 		for _, m := range s.upstreams {
 			limit, home := limits[m.leaf.Fields().ID]
 			m.leaf.SetHome(home)
-			switch {
-			case home && f.active:
+			if home {
 				m.pool.SetLimit(limit, warmConnections, spareIdle)
-			case home:
-				m.pool.SetLimit(limit, 0, spareIdle)
-			default:
+			} else {
 				m.pool.SetLimit(1, 0, foreignIdle)
 			}
 		}
@@ -79,6 +80,14 @@
 	}
 }
 
+// openAhead lets the instance open connections ahead of their use.
+func (f *fleet) openAhead() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.opensAhead = true
+	f.wantWarm()
+}
+
 // warmLoop opens connections ahead, one after the other in a random order.
 func (f *fleet) warmLoop() {
 	for range f.warming {
@@ -94,7 +103,7 @@
 func (f *fleet) coldPools() []*exchanger.Pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.table == nil || !f.active {
+	if f.table == nil || !f.opensAhead {
 		return nil
 	}
 	var pools []*exchanger.Pool
