--- a/pkg/gatekeeper/gatekeeper_test.go
+++ b/pkg/gatekeeper/gatekeeper_test.go
@@ -44,7 +44,7 @@
 	}
 
 	testTier struct {
-		t       *testing.T
+		t       testing.TB
 		gate    *Gatekeeper
 		address string
 		leafs   []*testLeaf
@@ -53,7 +53,7 @@
 	}
 )
 
-func newTier(t *testing.T, services ...string) *testTier {
+func newTier(t testing.TB, services ...string) *testTier {
 	t.Helper()
 	began := time.Now()
 	tier := &testTier{t: t}
@@ -83,7 +83,7 @@
 	return tier
 }
 
-func newTestLeaf(t *testing.T, id, service string) *testLeaf {
+func newTestLeaf(t testing.TB, id, service string) *testLeaf {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- /dev/null
+++ b/pkg/gatekeeper/scatter_bench_test.go
@@ -0,0 +1,81 @@
+package gatekeeper
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lovagedeck/pkg/lister"
+	"lovagedeck/pkg/router"
+)
+
+// BenchmarkScatter asks 90 shards of one leaf each; the leafs answer in the same process with as little work as possible.
+func BenchmarkScatter(b *testing.B) {
+	const shards = 90
+	tier := newTier(b)
+	var names []string
+	roster := lister.Roster{Stamp: lister.RosterStamp{Term: 1, Sequence: 1}}
+	for i := range shards {
+		name := fmt.Sprintf("s%d", i)
+		names = append(names, name)
+		tier.leafs = append(tier.leafs, &testLeaf{service: name})
+		roster.Leafs = append(roster.Leafs, lister.RosterLeaf{
+			ID: name, Service: name, DataCentre: "a", Address: plainLeaf(b), Slots: 2,
+		})
+	}
+	tier.gate.SetRoster(roster)
+	tier.route(router.RouteFields{
+		Name: "sweep", Shards: names, Attempts: 2, Idempotent: true, Objective: 10 * time.Second, TopRecords: 20, MinCoverage: 0.9,
+	})
+	for b.Loop() {
+		if response, _ := tier.ask(http.MethodGet, "/p/x", nil); response == nil || response.StatusCode != http.StatusOK {
+			b.Fatalf("got %v, want an answer", response)
+		}
+	}
+}
+
+// plainLeaf answers each request on its connections with one record, and returns its address.
+func plainLeaf(b *testing.B) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go servePlainly(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func servePlainly(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	id := ""
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if value, ok := strings.CutPrefix(line, "Request-Id: "); ok {
+			id = strings.TrimSpace(value)
+		}
+		if line != "\r\n" {
+			continue
+		}
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: 16\r\nProof: p" + id + "\r\nRequest-Id: " + id + "\r\n\r\n0123456789abcdef"
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
