--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 
 	"lovagedeck/pkg/assigner"
 	"lovagedeck/pkg/chooser"
@@ -87,18 +86,6 @@
 		strays   *metrics.Counter
 		duration *metrics.Histogram
 	}
-
-	// course is one query under way.
-	course struct {
-		id       string
-		query    *coordinator.Query
-		request  Request
-		priority float64
-		begun    time.Duration
-		owners   map[uint64]tabulator.MemberID
-		timer    *time.Timer
-		done     chan coordinator.Answer
-	}
 )
 
 // New returns a dispatcher that knows no leaf yet.
@@ -204,59 +191,6 @@
 	}
 }
 
-// admit checks that the query may run here and returns its limits.
-func (d *Dispatcher) admit(request Request, begun time.Duration) (coordinator.Limits, string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.draining {
-		return coordinator.Limits{}, ReasonShuttingDown
-	}
-	if !d.config.LeaseHeld(begun) {
-		return coordinator.Limits{}, ReasonNotReady
-	}
-	if d.config.Transport.CutOff() {
-		return coordinator.Limits{}, ReasonCutOff
-	}
-	limits, ok := d.limits(request, begun)
-	if !ok {
-		return coordinator.Limits{}, ReasonNoService
-	}
-	d.open++
-	return limits, ""
-}
-
-func (d *Dispatcher) leave() {
-	d.mu.Lock()
-	d.open--
-	d.mu.Unlock()
-}
-
-// limits narrows the rows of the services by the request.
-func (d *Dispatcher) limits(request Request, begun time.Duration) (coordinator.Limits, bool) {
-	limits := coordinator.Limits{Idempotent: request.Idempotent, HedgePercent: -1}
-	deadline := request.Deadline
-	for _, service := range request.Services {
-		rows := d.rows[service]
-		if len(rows) == 0 {
-			return limits, false
-		}
-		for _, row := range rows {
-			if deadline == 0 || row.Deadline() < deadline {
-				deadline = row.Deadline()
-			}
-			limits.MinCoverage = max(limits.MinCoverage, row.MinCoverage())
-			if limits.HedgePercent < 0 || row.HedgePercent() < limits.HedgePercent {
-				limits.HedgePercent = row.HedgePercent()
-			}
-		}
-	}
-	if request.MinCoverage != nil {
-		limits.MinCoverage = max(limits.MinCoverage, *request.MinCoverage)
-	}
-	limits.Deadline = begun + deadline
-	return limits, true
-}
-
 func (d *Dispatcher) begin(id string, request Request, limits coordinator.Limits, begun time.Duration) (*course, string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -283,133 +217,6 @@
 	return c, ""
 }
 
-// threshold returns the priority that a query needs so that each shard has a replica that takes it.
-func (d *Dispatcher) threshold(plan coordinator.Plan, now time.Duration) float64 {
-	needed := 0.0
-	for _, shard := range plan.Shards {
-		lowest := 1.0
-		for _, leaf := range shard.Candidates {
-			lowest = min(lowest, d.chooser.Threshold(leaf, now))
-		}
-		if len(shard.Candidates) > 0 {
-			needed = max(needed, lowest)
-		}
-	}
-	return needed
-}
-
-func (d *Dispatcher) onTime(c *course) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.carryOut(c, c.query.OnTime(d.config.Now()))
-}
-
-func (d *Dispatcher) abandon(c *course) coordinator.Answer {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.carryOut(c, c.query.Abandon(d.config.Now()))
-	c.timer.Stop()
-	select {
-	case answer := <-c.done:
-		return answer
-	default:
-		return coordinator.Answer{Outcome: coordinator.OutcomeFailed, Reason: ReasonCallerGone}
-	}
-}
-
-// onReply hands a reply to its query; a reply to nothing that is outstanding is counted and dropped.
-func (d *Dispatcher) onReply(reply fellow.Reply) {
-	now := d.config.Now()
-	leaf := assigner.LeafID(reply.Leaf)
-	d.catalogue.Learn(leaf, toHoldings(reply.Holdings))
-	if reply.Condition.Known {
-		d.chooser.OnReport(leaf, toReport(reply.Condition), now)
-	}
-	c := d.running[reply.ID]
-	if c == nil {
-		d.counters.strays.Inc()
-		return
-	}
-	delete(d.running, reply.ID)
-	if isUnavailable(reply) {
-		d.chooser.OnUnavailable(leaf, now)
-	}
-	d.carryOut(c, c.query.OnReply(toReply(reply), now))
-}
-
-func (d *Dispatcher) carryOut(c *course, actions []coordinator.Action) {
-	for _, action := range actions {
-		switch a := action.(type) {
-		case coordinator.Ask:
-			d.ask(c, a)
-		case coordinator.Cancel:
-			delete(d.running, a.Attempt)
-			if owner, ok := c.owners[a.Attempt]; ok {
-				d.config.Transport.Cancel(owner, a.Attempt)
-			}
-		case coordinator.StartOver:
-			d.startOver(c)
-			return
-		case coordinator.Finish:
-			c.timer.Stop()
-			c.done <- a.Answer
-			return
-		}
-	}
-	if !c.query.Done() {
-		c.timer.Reset(max(0, c.query.Wake()-d.config.Now()))
-	}
-}
-
-func (d *Dispatcher) startOver(c *course) {
-	now := d.config.Now()
-	plan, ok := d.catalogue.Pin(c.request.Services, d.view)
-	if !ok || !c.query.Newer(plan) {
-		d.carryOut(c, c.query.GiveUpRestart(now))
-		return
-	}
-	d.carryOut(c, c.query.Restart(plan, now))
-}
-
-func (d *Dispatcher) ask(c *course, a coordinator.Ask) {
-	now := d.config.Now()
-	d.running[a.Attempt] = c
-	record, listed := d.catalogue.Leaf(a.Leaf)
-	owner, ok := d.owner(record)
-	if !listed || !ok {
-		d.refuseLater(a, fellow.ReasonNoOwner)
-		return
-	}
-	c.owners[a.Attempt] = owner.ID()
-	d.config.Transport.Ask(owner, fellow.Ask{
-		ID: a.Attempt, Query: c.id, Leaf: string(a.Leaf), Service: a.Shard.Service, Shard: a.Shard.Number,
-		Index: a.Version.Index, Version: a.Version.Number, RemainingUs: (a.Deadline - now).Microseconds(),
-		Effect: !c.request.Idempotent, Hedge: a.Hedge, Caller: c.request.Caller, Weight: c.request.Weight,
-		Priority: c.priority, Text: c.request.Text,
-	})
-}
-
-// refuseLater answers an ask that has no owner after the present step has ended.
-func (d *Dispatcher) refuseLater(a coordinator.Ask, reason string) {
-	go d.OnReplies(d.config.Self, []fellow.Reply{{ID: a.Attempt, Leaf: string(a.Leaf), Kind: fellow.KindNotRun, Reason: reason}})
-}
-
-func (d *Dispatcher) owner(record coordinator.LeafRecord) (tabulator.Member, bool) {
-	if d.config.LocalOnly {
-		return d.view.Member(d.config.Self.Instance)
-	}
-	return d.assignment.Owner(assigner.NewLeaf(record.ID, record.DataCentre))
-}
-
-func (d *Dispatcher) ownerIsSilent(leaf assigner.LeafID) bool {
-	record, ok := d.catalogue.Leaf(leaf)
-	if !ok {
-		return true
-	}
-	owner, ok := d.owner(record)
-	return !ok || d.config.Transport.Silent(owner.ID())
-}
-
 func (d *Dispatcher) toolsFor(services []string) *toolSet {
 	key := strings.Join(services, ",")
 	if d.tools[key] == nil && len(d.tools) >= maxToolSets {
@@ -433,26 +240,6 @@
 	return fmt.Sprintf("%s.%x.%d", d.config.Self.Instance, d.config.Self.Incarnation, d.queries)
 }
 
-// isUnavailable tells whether a reply says that nothing can be sent to the leaf for a while.
-func isUnavailable(reply fellow.Reply) bool {
-	if reply.Kind != fellow.KindNotRun {
-		return false
-	}
-	return !reply.Condition.Known || reply.Condition.Resting
-}
-
-// priorityOf spreads queries evenly over 0 to 1, the same at every leaf.
-func priorityOf(id string) float64 {
-	return float64(xxhash.Sum64String(id)>>(64-priorityBits)) / (1 << priorityBits)
-}
-
-func retryAfter(reason string) time.Duration {
-	if reason != ReasonOverloaded {
-		return retryAfterNotReady
-	}
-	return retryAfterOverload
-}
-
 // SortServices returns the services in order without repetition.
 func SortServices(services []string) []string {
 	sorted := append([]string(nil), services...)
