Tell the other instances of a leaf whose address belongs to another

Cause: each of 64 instances asked each such leaf once and got 421: 1,261 refusals in eight seconds, which count against the retry budget (14 repeated requests a query denied). An instance now tells the others of its data centre, which leave the leaf alone for five seconds. Ruled out: dead leafs (31 attempts reached nobody in the same four seconds). Each data centre still finds out by itself.

--- a/pkg/gatekeeper/fleet_observations.go
+++ b/pkg/gatekeeper/fleet_observations.go
@@ -30,7 +30,7 @@
 	}
 	f.tell(spreader.Observation{
 		Leaf: leaf.Fields().ID, Slowness: observation.Slowness, Faults: observation.Faults, Slow: observation.IsSlow,
-		SlowFor: observation.SlowFor, SeenAt: observation.SeenAt,
+		SlowFor: observation.SlowFor, SeenAt: observation.SeenAt, Gone: observation.IsGone,
 	})
 }
 
@@ -46,9 +46,10 @@
 		}
 		turned := m.leaf.Take(placer.Observation{
 			Slowness: s.Slowness, Faults: s.Faults, IsSlow: s.Slow, SlowFor: s.SlowFor, SeenAt: s.SeenAt,
+			IsGone: s.Gone,
 		})
 		if turned {
-			f.log.Info("gatekeeper: leaf believed by observation", "leaf", s.Leaf, "service", m.leaf.Fields().Service, "slow", s.Slow,
+			f.log.Info("gatekeeper: leaf believed by observation", "leaf", s.Leaf, "service", m.leaf.Fields().Service, "slow", s.Slow, "gone", s.Gone,
 				"slowness", s.Slowness, "faults", s.Faults, "slow-for-ms", s.SlowFor.Milliseconds(), "age-ms", (now - s.SeenAt).Milliseconds())
 		}
 	}
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -41,7 +41,7 @@
 	last, news := newGossiper(t, secret)
 	first.SetPeers([]string{middle.address(), "no address"})
 	middle.SetPeers([]string{last.address()})
-	sent := spreader.Observation{Leaf: "i-1", Slowness: 4.5, Faults: 0.25, Slow: true, SlowFor: 700 * time.Millisecond, SeenAt: first.config.Now()}
+	sent := spreader.Observation{Leaf: "i-1", Slowness: 4.5, Faults: 0.25, Slow: true, SlowFor: 700 * time.Millisecond, Gone: true, SeenAt: first.config.Now()}
 	first.Tell(sent)
 	select {
 	case got := <-news:
--- a/pkg/gossiper/wire.go
+++ b/pkg/gossiper/wire.go
@@ -1,7 +1,7 @@
 // A datagram holds observations, each as a list, and a proof that the sender holds
 // the key of the cluster:
 //
-//	[["i-7f3a91c2",4.2,0,true,700,15], ...]   leaf, slowness, faults, slow, slow for ms, age ms
+//	[["i-7f3a91c2",4.2,0,true,700,15,false], ...]   leaf, slowness, faults, slow, slow for ms, age ms, gone
 
 package gossiper
 
@@ -23,6 +23,7 @@
 		Slow     bool
 		SlowMs   uint32
 		AgeMs    uint32
+		Gone     bool
 	}
 )
 
@@ -32,6 +33,7 @@
 		list = append(list, wireObservation{
 			Leaf: s.Leaf, Slowness: float32(s.Slowness), Faults: float32(s.Faults), Slow: s.Slow,
 			SlowMs: uint32(s.SlowFor.Milliseconds()), AgeMs: uint32(max(0, now-s.SeenAt).Milliseconds()),
+			Gone: s.Gone,
 		})
 	}
 	var data bytes.Buffer
@@ -51,6 +53,7 @@
 		observations = append(observations, spreader.Observation{
 			Leaf: w.Leaf, Slowness: float64(w.Slowness), Faults: float64(w.Faults), Slow: w.Slow,
 			SlowFor: time.Duration(w.SlowMs) * time.Millisecond, SeenAt: now - time.Duration(w.AgeMs)*time.Millisecond,
+			Gone: w.Gone,
 		})
 	}
 	return observations, nil
--- a/pkg/placer/observation.go
+++ b/pkg/placer/observation.go
@@ -13,6 +13,9 @@
 	longestPause = 300 * time.Millisecond
 	// slowMemory is how far apart two slow answers may be and still count as one spell.
 	slowMemory = 3 * time.Second
+	// goneFor is how long a leaf is left alone whose address another one has, by another instance's word: the list drops it
+	// within that time.
+	goneFor = 5 * time.Second
 	// faultNews is the share of faults that is worth telling; one fault makes 0.3.
 	faultNews = 0.2
 )
@@ -25,16 +28,18 @@
 	SlowFor time.Duration
 	// IsSlow tells that the last answer was slow.
 	IsSlow bool
+	// IsGone tells that another leaf has the address.
+	IsGone bool
 	SeenAt time.Duration
 }
 
 // News returns what the others should know after a request ended: that the leaf is slow or fails, or no longer does.
 func (l *Leaf) News(now time.Duration) (Observation, bool) {
-	observation := Observation{Slowness: l.slownessAt(now), Faults: l.faultsNow(now), SeenAt: now, IsSlow: l.slow}
+	observation := Observation{Slowness: l.slownessAt(now), Faults: l.faultsNow(now), SeenAt: now, IsSlow: l.slow, IsGone: l.gone}
 	if l.slow {
 		observation.SlowFor = now - l.slowSince
 	}
-	bad := l.slow || observation.Faults >= faultNews
+	bad := l.slow || l.gone || observation.Faults >= faultNews
 	news := bad || l.toldBad
 	l.toldBad = bad
 	l.seenAt = now
@@ -48,7 +53,10 @@
 		return false
 	}
 	l.seenAt = observation.SeenAt
-	bad := observation.IsSlow || observation.Faults >= faultNews
+	if observation.IsGone {
+		l.awayUntil = max(l.awayUntil, observation.SeenAt+goneFor)
+	}
+	bad := observation.IsSlow || observation.IsGone || observation.Faults >= faultNews
 	turned := bad != l.toldBad
 	l.toldBad = bad
 	l.faults, l.faultsAt = observation.Faults, observation.SeenAt
--- a/pkg/placer/observation_test.go
+++ b/pkg/placer/observation_test.go
@@ -140,3 +140,25 @@
 		t.Error("a leaf that answered another request meanwhile is left alone")
 	}
 }
+
+// Leafs of many shards are gone and their addresses belong to others, while the list still has them: one refusal is enough
+// for all instances.
+func TestReplacedLeafIsLeftAloneElsewhere(t *testing.T) {
+	now := time.Minute
+	instance, observer := New(Fields{ID: "a"}, 0, 0), New(Fields{ID: "a"}, 0, 0)
+	other := New(Fields{ID: "b"}, 0, 0)
+	other.OnSend(1, usual, now)
+	instance.OnSend(1, usual, now)
+	instance.OnEnd(1, Replaced, usual, usual, now)
+	news, ok := instance.News(now)
+	if !ok || !news.IsGone {
+		t.Fatalf("got %+v (news: %v), want that the leaf is gone", news, ok)
+	}
+	observer.Take(news)
+	if leaf := Choose([]*Leaf{observer, other}, Wish{Now: now + time.Second}); leaf != other {
+		t.Error("another instance still asks the leaf whose address belongs to another")
+	}
+	if observer.Away(now + 2*goneFor) {
+		t.Error("the leaf is left alone for good by another instance's word")
+	}
+}
--- a/pkg/spreader/spreader.go
+++ b/pkg/spreader/spreader.go
@@ -31,6 +31,8 @@
 		Faults float64
 		// Slow tells that the last answer was slow.
 		Slow bool
+		// Gone tells that another leaf has its address.
+		Gone bool
 		// SlowFor is how long the leaf had been slow without a break, 0 where it was not.
 		SlowFor time.Duration
 		SeenAt  time.Duration
