End a query at once when nothing more can come, and refuse one whose shards have no leafs

A query of which more shards have no leaf at all than an answer may lack is refused with 503 and a time to come back, before anything is sent. TestQueryEndsOnceAllLeafsOfAShardFailed and TestQueryWithoutLeafsForItsShardsIsRefusedAtOnce fail without. Placing and asking have a file of their own.

--- a/pkg/controller/sessions.go
+++ b/pkg/controller/sessions.go
@@ -216,7 +216,10 @@
 		if err := t.peer.call("Report", t.query, &reply, reachTimeout); err != nil {
 			return
 		}
-		_ = s.takeRequests(reply.Requests)
+		if err := s.takeRequests(reply.Requests); err != nil {
+			// The instance has stopped.
+			return
+		}
 		if s.config.Board != nil {
 			s.config.Board.Take(reply.Roster)
 			s.config.Board.Confirm(reply.Reading)
--- a/pkg/gatekeeper/gatekeeper_test.go
+++ b/pkg/gatekeeper/gatekeeper_test.go
@@ -419,6 +419,50 @@
 	}
 }
 
+// The only leaf of a shard has run the request and failed: nothing can come any more, and the caller has most of its time left.
+func TestQueryEndsOnceAllLeafsOfAShardFailed(t *testing.T) {
+	tier := newTier(t, "s1", "s2")
+	tier.leafs[0].set(status(http.StatusInternalServerError))
+	tier.route(router.RouteFields{
+		Name: "sweep", Shards: []string{"s1", "s2"}, Attempts: 2, Idempotent: true, Objective: 500 * time.Millisecond, TopRecords: 2, MinCoverage: 1,
+	})
+	began := time.Now()
+	if response, _ := tier.ask(http.MethodGet, "/p/x", nil); response == nil || response.StatusCode != http.StatusBadGateway {
+		t.Errorf("got %v, want a failure", response)
+	}
+	if took := time.Since(began); took > 200*time.Millisecond {
+		t.Errorf("failed after %v", took)
+	}
+}
+
+// All leafs of two shards are gone from the list: the query cannot be answered whatever comes, and has not run.
+func TestQueryWithoutLeafsForItsShardsIsRefusedAtOnce(t *testing.T) {
+	tier := newTier(t, "s1", "s2", "s3", "s4")
+	left := tier.leafs[:2]
+	tier.route(router.RouteFields{
+		Name: "sweep", Shards: []string{"s1", "s2", "s3", "s4"}, Attempts: 2, Idempotent: true, Objective: 500 * time.Millisecond,
+		TopRecords: 2, MinCoverage: 0.75,
+	})
+	tier.leafs = left
+	tier.list()
+	began := time.Now()
+	response, _ := tier.ask(http.MethodGet, "/p/x", nil)
+	if response == nil || response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Fatalf("got %v, want a refusal with a time to come back", response)
+	}
+	if took := time.Since(began); took > 200*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+	for _, leaf := range left {
+		if runs := leaf.runs.Load(); runs != 0 {
+			t.Errorf("leaf %s ran a query that was refused as not run", leaf.id)
+		}
+		if running := tier.gate.fleet.leafs[leaf.id].leaf.Running(); running != 0 {
+			t.Errorf("%d requests still count at leaf %s", running, leaf.id)
+		}
+	}
+}
+
 // The leafs of a shard have crashed, and each query tries them again and again: that is one request for the retry budget.
 func TestTriesThatReachNoLeafEarnNoRetries(t *testing.T) {
 	const queries = 10
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -54,7 +54,10 @@
 func (g *Gatekeeper) scatter(w http.ResponseWriter, r *http.Request, in *inbound) {
 	q := g.newQuery(in)
 	defer q.abandonAll(r)
-	q.askAll()
+	if !q.askAll() {
+		q.refuse(w)
+		return
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -113,90 +116,6 @@
 	return g.fleet.kindOf(in.route).hedgeAfter(in.route.Objective() - g.config.Travel - mergeMargin)
 }
 
-// askAll places all first requests before it sends any: how many are expected in time decides how long they run, and
-// whether a shard without a ready leaf can be missed.
-func (q *query) askAll() {
-	q.gate.fleet.countRequests(q.shards)
-	placed := make([]*attempt, len(q.shards))
-	found := 0
-	for shard := range q.shards {
-		if placed[shard] = q.place(shard, needReady); placed[shard] != nil {
-			found++
-		}
-	}
-	inTime := 0
-	for shard := range q.shards {
-		if placed[shard] == nil && found < q.in.route.MinParts() {
-			placed[shard] = q.place(shard, needAny)
-		}
-		switch a := placed[shard]; {
-		case a == nil:
-			q.course.OnDenied(shard, q.gate.config.Now())
-		case a.begun+a.expected <= q.due:
-			inTime++
-		}
-	}
-	q.course.Expect(inTime)
-	for shard, a := range placed {
-		if a != nil {
-			q.send(shard, a)
-		}
-	}
-}
-
-// ask sends the request to another leaf of the shard.
-func (q *query) ask(shard int, need need) {
-	a := q.place(shard, need)
-	if a == nil {
-		q.course.OnDenied(shard, q.gate.config.Now())
-		return
-	}
-	if need != needAny {
-		q.gate.counters.hedges.Inc()
-		q.gate.noteExtra(q.in, a, "hedge", "the first leaf is late")
-	} else {
-		q.gate.noteExtra(q.in, a, "retry", "the attempt before brought no part")
-	}
-	q.send(shard, a)
-}
-
-// hedgeNeed returns which leafs will do for a second request: sound ones, and any that has room once the answer is late
-// and cannot do without the shard.
-func (q *query) hedgeNeed(now time.Duration) need {
-	if q.course.AtRisk(now) {
-		return needReady
-	}
-	return needSound
-}
-
-// place chooses a leaf for the shard, or returns nil.
-func (q *query) place(shard int, need need) *attempt {
-	a, why := q.gate.fleet.begin(q.in.route, q.shards[shard], q.tried[shard], need, q.arrived[shard])
-	q.gate.counters.denied(why)
-	if a == nil {
-		if why == denialBudget {
-			q.overBudget++
-		}
-		return nil
-	}
-	if a.isExtra {
-		q.extra++
-	}
-	a.shard = shard
-	q.tried[shard] = append(q.tried[shard], a.upstream.leaf)
-	q.attempts = append(q.attempts, a)
-	return a
-}
-
-func (q *query) send(shard int, a *attempt) {
-	q.course.OnSent(shard, q.gate.config.Now())
-	request := q.in.request
-	request.Deadline = time.Now().Add(q.course.AttemptUntil(shard, q.gate.config.Now()) - q.gate.config.Now())
-	a.ticket = a.upstream.pool.Start(&request, func(result exchanger.Result) {
-		q.ends <- exchangeEnd{shard: shard, attempt: a, result: result}
-	})
-}
-
 func (q *query) drainEnds() {
 	for {
 		select {
@@ -303,6 +222,15 @@
 		"objective-ms", q.in.route.Objective().Milliseconds())
 }
 
+// refuse ends a query of which nothing was sent.
+func (q *query) refuse(w http.ResponseWriter) {
+	q.gate.refuse(w, refusal{
+		id: q.in.id, status: http.StatusServiceUnavailable, retryAfter: retryFull, reason: "too few shards have a leaf",
+		route: q.in.route.Name(), version: q.in.table.Version(), took: time.Since(q.in.arrived),
+		patience: q.in.deadline.Sub(q.in.arrived),
+	})
+}
+
 func (q *query) fail(w http.ResponseWriter, status int, reason string, took time.Duration) {
 	q.gate.refuse(w, refusal{
 		id: q.in.id, status: status, reason: reason, route: q.in.route.Name(), version: q.in.table.Version(), took: took,
--- a/pkg/gatherer/course.go
+++ b/pkg/gatherer/course.go
@@ -138,6 +138,9 @@
 	s.paused = !s.lost
 }
 
+// OnLost notes that no leaf is left that could take another attempt, while none runs.
+func (c *Course) OnLost(index int) { c.shards[index].lost = true }
+
 // PauseOver returns the shards whose pause is over, which should be tried again now.
 func (c *Course) PauseOver(now time.Duration) []int {
 	var over []int
