Send a request again of which no byte was written

Cause: where the write failed first, the connection was closed from this side, and the reader no longer saw the reset by which such a request is known not to have been taken; it counted as run, used up an attempt and a repeated request. A write that took no byte is known exactly, so that a request that must not run twice is sent again as well. TestRequestThatWasNotWrittenGoesOutAgain fails without.

--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -45,6 +45,8 @@
 	suspect bool
 	// answered marks a connection that brought an answer; one that is reset before was not accepted.
 	answered bool
+	// unsent marks a connection that was closed before it took any byte of the request on it.
+	unsent bool
 }
 
 func newConn(p *Pool, raw net.Conn) *conn {
@@ -67,9 +69,10 @@
 		deadline = left
 	}
 	_ = c.raw.SetWriteDeadline(time.Now().Add(deadline))
-	_, err := c.raw.Write(ticket.request.wire(c.pool.config.Headers, c.pool.instance, left))
+	written, err := c.raw.Write(ticket.request.wire(c.pool.config.Headers, c.pool.instance, left))
 	c.pool.mu.Lock()
 	ticket.writing = false
+	c.unsent = err != nil && written == 0
 	c.pool.mu.Unlock()
 	if err != nil {
 		c.close()
@@ -105,10 +108,20 @@
 	err := c.readAnswers()
 	c.close()
 	ticket := c.pool.lost(c)
-	if ticket == nil || c.wasRefused(ticket, err) && c.pool.takeBack(ticket) {
+	if ticket == nil {
 		return
 	}
-	ticket.finish(Result{Err: err, Sent: true})
+	unsent := c.isUnsent()
+	if (unsent || !ticket.request.Once && c.wasRefused(ticket, err)) && c.pool.takeBack(ticket) {
+		return
+	}
+	ticket.finish(Result{Err: err, Sent: !unsent})
+}
+
+func (c *conn) isUnsent() bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.unsent
 }
 
 // wasRefused tells whether the upstream did not take the connection: it reset it before it can have done any work.
--- a/pkg/exchanger/exchanger_test.go
+++ b/pkg/exchanger/exchanger_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -323,6 +325,71 @@
 	}
 }
 
+// closedConn is a connection that the upstream closed, which its reader has not noticed yet.
+type closedConn struct {
+	net.Conn
+	closed chan bool
+	once   sync.Once
+}
+
+func (c *closedConn) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+func (c *closedConn) Read([]byte) (int, error) {
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+func (c *closedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+func (c *closedConn) SetWriteDeadline(time.Time) error { return nil }
+
+// All instances start again, and leafs close connections beyond their limit: a request of which no byte went out has not
+// run, also one that must not run twice.
+func TestRequestThatWasNotWrittenGoesOutAgain(t *testing.T) {
+	cases := []struct {
+		name   string
+		once   bool
+		closed int64
+		want   bool
+	}{
+		{"the next connection is sound", false, 1, true},
+		{"a request that must not run twice", true, 1, true},
+		{"no connection is sound", true, 100, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			u := newUpstream(t, func(c net.Conn, _ *http.Request, id string) { ok(c, id, "") })
+			var dials atomic.Int64
+			config := &Config{
+				Headers: testHeaders, MaxAnswer: 1 << 20,
+				Dial: func(address string, timeout time.Duration) (net.Conn, error) {
+					if dials.Add(1) <= c.closed {
+						return &closedConn{closed: make(chan bool)}, nil
+					}
+					return net.DialTimeout("tcp", address, timeout)
+				},
+			}
+			pool := New(config, u.listener.Addr().String(), "leaf-1", 1)
+			defer pool.Close()
+			r := request("r1")
+			r.Once = c.once
+			ended := make(chan Result, 1)
+			pool.Start(r, func(result Result) { ended <- result })
+			result := <-ended
+			defer result.Release()
+			if got := result.Answer != nil; got != c.want {
+				t.Errorf("answered: %v (%v), want %v", got, result.Err, c.want)
+			}
+			if !c.want && result.Sent {
+				t.Error("a request of which no byte was written counts as sent")
+			}
+		})
+	}
+}
+
 // An upstream that takes two connections resets every further one; instances that are gone may still hold some.
 func TestConnectionsBeyondTheUpstreamsLimitAreNotMissed(t *testing.T) {
 	var resets atomic.Int64
--- a/pkg/exchanger/pool.go
+++ b/pkg/exchanger/pool.go
@@ -243,17 +243,17 @@
 	return p.limit
 }
 
-// takeBack lets a request wait for another connection where a second execution does no harm: the upstream takes no more
-// connections than it has, so that the request most probably never reached it.
+// takeBack lets a request wait for another connection where it never reached the upstream, or most probably did not and a
+// second execution does no harm: the upstream takes no more connections than it has.
 func (p *Pool) takeBack(ticket *Ticket) bool {
 	p.mu.Lock()
-	if ticket.ended || ticket.takenBack >= maxTakenBack || ticket.request.Once || p.closed {
+	if ticket.ended || ticket.takenBack >= maxTakenBack || p.closed {
 		p.mu.Unlock()
 		return false
 	}
 	ticket.takenBack++
 	ticket.conn = nil
-	if c := p.takeIdle(false); c != nil {
+	if c := p.takeIdle(ticket.request.Once); c != nil {
 		p.assign(c, ticket)
 		p.mu.Unlock()
 		c.write(ticket)
