--- a/pkg/commander/flags.go
+++ b/pkg/commander/flags.go
@@ -103,3 +103,13 @@
 	}
 	return clients, nil
 }
+
+// operatorTable returns a client and the present table.
+func operatorTable(command *cli.Command) (*operator.Client, operator.Table, error) {
+	client, err := operatorClient(command)
+	if err != nil {
+		return nil, operator.Table{}, err
+	}
+	table, err := client.Table()
+	return client, table, err
+}
--- a/pkg/commander/verb_data_centre.go
+++ b/pkg/commander/verb_data_centre.go
@@ -34,11 +34,7 @@
 	if name == "" || command.Args().Len() != 1 {
 		return usagef("name one data centre")
 	}
-	client, err := operatorClient(command)
-	if err != nil {
-		return err
-	}
-	table, err := client.Table()
+	client, table, err := operatorTable(command)
 	if err != nil {
 		return err
 	}
--- a/pkg/commander/verb_table.go
+++ b/pkg/commander/verb_table.go
@@ -65,11 +65,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := operatorClient(command)
-	if err != nil {
-		return err
-	}
-	table, err := client.Table()
+	client, table, err := operatorTable(command)
 	if err != nil {
 		return err
 	}
@@ -153,11 +149,7 @@
 	if len(args) < 3 {
 		return usagef("name a service, a data centre and at least one COLUMN=VALUE")
 	}
-	client, err := operatorClient(command)
-	if err != nil {
-		return err
-	}
-	table, err := client.Table()
+	client, table, err := operatorTable(command)
 	if err != nil {
 		return err
 	}
