Take the disk of a control instance only between two of its runs

The soak killed the process, slept for half of the pause before its restart and then removed the folder or wrote behind the log; beside other work the next process was already running. The sleep is replaced by work that the loop which restarts the process does itself, after the proved end of one run and before the start of the next. The memory of the entry instances is stated in their settings as well, and the stage can start leafs of other services.

Ruled out: a longer pause before the restart, which orders nothing.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -73,13 +73,7 @@
 	s := newStage(t, binary, firstNetwork+int(nextNetwork.Add(1)%40), j)
 	defer keep(t, s, seed)
 	defer s.close()
-	for _, name := range append([]string{"once", "safe"}, shardNames...) {
-		for k := range 3 {
-			if _, err := s.fleet.add(name, string("abc"[k]), ""); err != nil {
-				t.Fatal(err)
-			}
-		}
-	}
+	s.addLeafs(append([]string{"once", "safe"}, shardNames...))
 	s.start()
 	tr := newTraffic(s, seed)
 	random := rand.New(rand.NewPCG(seed, 7))
@@ -179,6 +173,7 @@
 		{"many documents", f.storm},
 		// A former seed draws from the first kinds: new ones come last.
 		{"read behind a cut", f.readBehindCut},
+		{"leafs send without end", f.endlessLeafs},
 	}
 	if f.kinds > 0 {
 		kinds = kinds[:f.kinds]
@@ -270,32 +265,42 @@
 	}
 	f.wiped[p] = time.Now()
 	f.stage.writeSettings(p, false)
-	p.signal(syscall.SIGKILL)
-	time.Sleep(restartPause / 2)
-	if err := os.RemoveAll(filepath.Join(p.folder, "log")); err != nil {
-		f.stage.t.Errorf("lose the disk of %s: %v", p.name, err)
-	}
+	p.killAnd(func() {
+		if err := os.RemoveAll(filepath.Join(p.folder, "log")); err != nil {
+			f.stage.t.Errorf("lose the disk of %s: %v", p.name, err)
+		}
+	})
 }
 
 // tear kills a control instance and leaves bytes of a write that was never synced behind its log.
 func (f *faults) tear() {
 	p := f.control()
-	p.signal(syscall.SIGKILL)
-	time.Sleep(restartPause / 2)
-	files, err := filepath.Glob(filepath.Join(p.folder, "log", "log-*"))
+	garbage := make([]byte, f.random.IntN(60_000))
+	for i := range garbage {
+		garbage[i] = byte(f.random.IntN(256))
+	}
+	p.killAnd(func() {
+		if err := appendToLog(filepath.Join(p.folder, "log"), garbage); err != nil {
+			f.stage.t.Errorf("tear the log of %s: %v", p.name, err)
+		}
+	})
+}
+
+// appendToLog writes behind the newest file of a log; a folder without one is left alone.
+func appendToLog(folder string, garbage []byte) error {
+	files, err := filepath.Glob(filepath.Join(folder, "log-*"))
 	if err != nil || len(files) == 0 {
-		return
+		return err
 	}
 	file, err := os.OpenFile(files[len(files)-1], os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return
+		return err
 	}
-	defer func() { _ = file.Close() }()
-	garbage := make([]byte, f.random.IntN(60_000))
-	for i := range garbage {
-		garbage[i] = byte(f.random.IntN(256))
+	if _, err := file.Write(garbage); err != nil {
+		_ = file.Close()
+		return err
 	}
-	_, _ = file.Write(garbage)
+	return file.Close()
 }
 
 func (f *faults) link(mode proxyMode) {
@@ -355,6 +360,19 @@
 	f.later(f.short(), func() { l.fail("") })
 }
 
+// endlessLeafs lets all leafs of a shard send bodies without end.
+func (f *faults) endlessLeafs() {
+	leafs := f.stage.fleet.of(shardNames[f.random.IntN(len(shardNames))])
+	for _, l := range leafs {
+		l.fail("endless")
+	}
+	f.later(f.short(), func() {
+		for _, l := range leafs {
+			l.fail("")
+		}
+	})
+}
+
 func (f *faults) leafLink() {
 	l := f.leaf()
 	if f.random.IntN(3) == 0 {
--- a/soak/stage_test.go
+++ b/soak/stage_test.go
@@ -23,6 +23,8 @@
 	graceTime = 4 * time.Second
 	// restartPause is the time between the end of a process and its next start.
 	restartPause = 100 * time.Millisecond
+	// memoryMB is the memory of the smallest entry instances today, in MiB.
+	memoryMB = 184
 )
 
 var quietLog = log.New(io.Discard, "", 0)
@@ -46,6 +48,8 @@
 		touched  time.Time
 		closed   bool
 		ended    chan bool
+		// whileDown is done once, between the end of one run and the start of the next.
+		whileDown []func()
 	}
 
 	// stage is a whole deployment on loopback addresses.
@@ -79,6 +83,18 @@
 	return s
 }
 
+// addLeafs starts three leafs of each service, one a data centre.
+func (s *stage) addLeafs(services []string) {
+	s.t.Helper()
+	for _, name := range services {
+		for k := range 3 {
+			if _, err := s.fleet.add(name, string("abc"[k]), ""); err != nil {
+				s.t.Fatal(err)
+			}
+		}
+	}
+}
+
 func (s *stage) hostOf(i int) string { return fmt.Sprintf("127.0.%d.%d", s.network, i+1) }
 
 func freePort(t *testing.T, host string) int {
@@ -125,7 +141,7 @@
 		"seeds": s.seeds, "bootstrap": bootstrap, "dataDir": dataDir, "faultTolerance": map[string]int{"machines": 2},
 		"bounds":   map[string]any{"graceS": graceTime.Seconds(), "retryBudgetRatio": 0.2, "retryBudgetSlack": 54, "budgetWindowS": 10},
 		"zones":    map[string]string{"a": "r", "b": "r", "c": "r"},
-		"cloudApi": map[string]any{"address": s.fleet.at, "ratePerS": 42},
+		"cloudApi": map[string]any{"address": s.fleet.at, "ratePerS": 42}, "limits": map[string]any{"memoryMb": memoryMB},
 	})
 	if err != nil {
 		s.t.Fatal(err)
@@ -161,6 +177,7 @@
 			_ = output.Close()
 			return
 		}
+		p.runWhileDown()
 		err = command.Start()
 		p.command, p.stopping, p.touched = command, time.Time{}, time.Now()
 		p.boots++
@@ -206,6 +223,30 @@
 	}
 }
 
+// killAnd kills the process, does the work after its proved end and before its next start, and returns once it is done.
+func (p *process) killAnd(work func()) {
+	done := make(chan bool)
+	p.mu.Lock()
+	p.whileDown = append(p.whileDown, func() {
+		defer close(done)
+		work()
+	})
+	p.mu.Unlock()
+	p.signal(syscall.SIGKILL)
+	select {
+	case <-done:
+	case <-p.ended:
+	}
+}
+
+// runWhileDown does what waits for the process to be down; the caller holds the lock, so that no run has begun.
+func (p *process) runWhileDown() {
+	for _, work := range p.whileDown {
+		work()
+	}
+	p.whileDown = nil
+}
+
 // touch notes a fault beside the process, such as one of its connections.
 func (p *process) touch() {
 	p.mu.Lock()
