Bound the bytes that answers and requests hold

Cause: a body was read by doubling up to 16 MB, for each shard.

Change: bodies are read in pieces that are counted before they are allocated, against the part, the query and the instance (setting HeldBytes, by default an eighth of the memory). Interim answers, answers to other requests and heads that run on from an unfinished one end the attempt too: a status line within a head could have joined the proof of one answer with the status of another. The bodies of callers count in the same way, and the reading of heads and bodies is bounded in time.

Ruled out: a smaller limit alone; one that plain answers need lets 450 shards take far too much.

--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"net"
+	"regexp"
 	"strconv"
 	"strings"
 	"syscall"
@@ -33,6 +34,9 @@
 	leastTimeLeft = time.Millisecond
 )
 
+// statusLine is the beginning of an answer.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
 type conn struct {
 	pool      *Pool
 	raw       net.Conn
@@ -138,52 +142,72 @@
 		if ticket == nil {
 			return errors.New("bytes without a request")
 		}
-		answer, err := c.readAnswer(ticket.request)
+		answer, held, err := c.readAnswer(ticket.request)
 		if err != nil {
 			return errors.Wrap(err, "read the answer")
 		}
+		if isSpliced(answer) {
+			fasthttp.ReleaseResponse(answer)
+			c.pool.meterOf(ticket.request).Return(held)
+			return ErrForeignAnswer
+		}
 		id := answer.Header.Peek(c.pool.config.Headers.RequestID)
 		if string(id) != ticket.request.ID {
 			unnamed := len(id) == 0
 			fasthttp.ReleaseResponse(answer)
-			if unnamed {
+			c.pool.meterOf(ticket.request).Return(held)
+			if unnamed || c.suspect {
 				return ErrForeignAnswer
 			}
 			// A second answer to an earlier request; the one that is waited for follows.
 			c.suspect = true
 			continue
 		}
-		if !c.deliver(ticket, answer) {
+		if !c.deliver(ticket, answer, held) {
 			return nil
 		}
 	}
 }
 
+// isSpliced tells whether the head runs on from the unfinished head of another answer: a status line stands within it.
+func isSpliced(answer *fasthttp.Response) bool {
+	for name, value := range answer.Header.All() {
+		if statusLine.Match(name) || statusLine.Match(value) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *conn) serving() *Ticket {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	return c.ticket
 }
 
-// readAnswer reads the final answer, past interim ones.
-func (c *conn) readAnswer(request *Request) (*fasthttp.Response, error) {
-	for {
-		answer := fasthttp.AcquireResponse()
+// readAnswer reads the final answer, past interim ones, and returns the bytes counted for its body.
+func (c *conn) readAnswer(request *Request) (answer *fasthttp.Response, held int64, err error) {
+	for range maxInterim + 1 {
+		answer = fasthttp.AcquireResponse()
 		answer.SkipBody = request.NoAnswerBody
 		answer.Header.SetNoDefaultContentType(true)
-		if err := answer.ReadLimitBody(c.reader, c.pool.config.MaxAnswer); err != nil {
+		if err = answer.Header.Read(c.reader); err == nil {
+			held, err = readBody(c.reader, answer, c.pool.limitOf(request), c.pool.meterOf(request))
+		}
+		if err != nil {
 			fasthttp.ReleaseResponse(answer)
-			return nil, err
+			return nil, 0, err
 		}
 		if answer.StatusCode() >= fasthttp.StatusOK {
-			return answer, nil
+			return answer, held, nil
 		}
 		fasthttp.ReleaseResponse(answer)
 	}
+	return nil, 0, ErrInterim
 }
 
 // deliver hands the answer over and tells whether the connection may carry another exchange.
-func (c *conn) deliver(ticket *Ticket, answer *fasthttp.Response) bool {
+func (c *conn) deliver(ticket *Ticket, answer *fasthttp.Response, held int64) bool {
 	c.keepAlive = keepAliveOf(answer)
 	c.answered = true
 	reusable := !c.suspect && !answer.ConnectionClose() && c.reader.Buffered() == 0
@@ -197,7 +221,7 @@
 		c.pool.lost(c)
 		c.close()
 	}
-	ticket.finish(Result{Answer: answer, Sent: true})
+	ticket.finish(Result{Answer: answer, Sent: true, held: held, meter: c.pool.meterOf(ticket.request)})
 	return reusable
 }
 
--- a/pkg/exchanger/exchange.go
+++ b/pkg/exchanger/exchange.go
@@ -24,6 +24,8 @@
 	ErrStopped = errors.New("the pool of the upstream is closed")
 	// ErrForeignAnswer says that an answer belonged to another request.
 	ErrForeignAnswer = errors.New("the answer belongs to another request")
+	// ErrInterim says that interim answers came without a final one.
+	ErrInterim = errors.New("too many interim answers")
 )
 
 type (
@@ -55,6 +57,10 @@
 		Deadline time.Time
 		// Once tells that a second execution must not happen, so that only a sound connection may carry the request.
 		Once bool
+		// MaxAnswer bounds the body of the answer, in bytes; 0 is the bound of the pool.
+		MaxAnswer int
+		// Meter bounds the answers held for the whole query; nil is the meter of the pool.
+		Meter *Meter
 	}
 
 	// Result is the end of an exchange.
@@ -68,6 +74,9 @@
 		// Queued is how long the request waited for a connection, Travelled the time from writing it to the answer.
 		Queued    time.Duration
 		Travelled time.Duration
+		// held is what the answer counts for at the meter.
+		held  int64
+		meter *Meter
 	}
 )
 
@@ -75,6 +84,7 @@
 func (r Result) Release() {
 	if r.Answer != nil {
 		fasthttp.ReleaseResponse(r.Answer)
+		r.meter.Return(r.held)
 	}
 }
 
--- a/pkg/exchanger/exchanger_test.go
+++ b/pkg/exchanger/exchanger_test.go
@@ -125,6 +125,28 @@
 			ok(c, "earlier", "xyz")
 			ok(c, id, "abc")
 		}, 200, "abc", true},
+		{"behind an unfinished head", func(c net.Conn, _ *http.Request, id string) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nDate: Fri")
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 500 Fault\r\nRequest-Id: %s\r\nContent-Length: 3\r\n\r\nabc", id)
+		}, 0, "", true},
+		{"behind an unfinished header name", func(c net.Conn, _ *http.Request, id string) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nDa")
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 500 Fault\r\nRequest-Id: %s\r\nContent-Length: 3\r\n\r\nabc", id)
+		}, 0, "", true},
+		{"behind an unfinished status line", func(c net.Conn, _ *http.Request, id string) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200")
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 500 Fault\r\nRequest-Id: %s\r\nContent-Length: 3\r\n\r\nabc", id)
+		}, 0, "", true},
+		{"of earlier requests without end", func(c net.Conn, _ *http.Request, _ string) {
+			for range 100 {
+				ok(c, "earlier", "xyz")
+			}
+		}, 0, "", true},
+		{"interim answers without end", func(c net.Conn, _ *http.Request, _ string) {
+			for range 100 {
+				_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+			}
+		}, 0, "", true},
 		{"without an id", func(c net.Conn, _ *http.Request, _ string) {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")
 		}, 0, "", true},
--- a/pkg/exchanger/pool.go
+++ b/pkg/exchanger/pool.go
@@ -30,6 +30,8 @@
 		Dial func(address string, timeout time.Duration) (net.Conn, error)
 		// MaxAnswer bounds the body of an answer, in bytes.
 		MaxAnswer int
+		// Meter bounds the bytes of all answers held at one time; nil does not.
+		Meter *Meter
 		// OnConnect is told of each connection that was opened, with the time it took, or of the failure; it may be nil.
 		OnConnect func(address string, took time.Duration, err error)
 	}
@@ -85,6 +87,22 @@
 	p.limit, p.kept, p.spareIdle = max(1, limit), kept, idle
 }
 
+// limitOf returns the longest body that the request takes.
+func (p *Pool) limitOf(request *Request) int {
+	if request.MaxAnswer > 0 {
+		return min(request.MaxAnswer, p.config.MaxAnswer)
+	}
+	return p.config.MaxAnswer
+}
+
+// meterOf returns what the answer to the request counts for.
+func (p *Pool) meterOf(request *Request) *Meter {
+	if request.Meter != nil {
+		return request.Meter
+	}
+	return p.config.Meter
+}
+
 // Load returns how many requests run and how many wait for a connection.
 func (p *Pool) Load() (running, waiting int) {
 	p.mu.Lock()
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -29,6 +29,14 @@
 const (
 	// maxAnswer bounds the body of one upstream's answer, in bytes.
 	maxAnswer = 16 << 20
+	// defaultHeldBytes bounds the bodies that are held at one time where the instance has no memory limit.
+	defaultHeldBytes = 64 << 20
+	// queryShare is the part of them that the answers to one query may take.
+	queryShare = 0.25
+	// maxHeader bounds the head of a request, in bytes: four times what the routing documents of today allow.
+	maxHeader = 64 << 10
+	// headerTimeout bounds the reading of a head: three times what the routing documents of today allow.
+	headerTimeout = 10 * time.Second
 	// defaultBody bounds a request body before the first routing document, in bytes.
 	defaultBody = 256 << 10
 	// defaultIdle is how long an idle connection of a caller is kept before the first routing document.
@@ -58,6 +66,8 @@
 		Budget hedger.SharedBound
 		// Travel is the time that a caller's request and its answer spend on the way, together.
 		Travel time.Duration
+		// HeldBytes bounds the bodies of requests and answers that are held at one time; 0 is a default.
+		HeldBytes int64
 		// Decode reads a routing document.
 		Decode func(version uint64, body []byte) (*router.Table, error)
 		Dial   func(address string, timeout time.Duration) (net.Conn, error)
@@ -70,8 +80,10 @@
 
 	// Gatekeeper serves the callers of one instance.
 	Gatekeeper struct {
-		config   Config
-		fleet    *fleet
+		config Config
+		fleet  *fleet
+		// held counts the bodies of requests and answers.
+		held     *exchanger.Meter
 		table    atomic.Pointer[router.Table]
 		draining atomic.Bool
 		listed   atomic.Bool
@@ -86,13 +98,18 @@
 
 // New returns a gatekeeper that knows no route yet.
 func New(config Config) *Gatekeeper {
-	g := &Gatekeeper{config: config, metrics: metrics.NewSet(), started: make(chan struct{})}
+	if config.HeldBytes <= 0 {
+		config.HeldBytes = defaultHeldBytes
+	}
+	g := &Gatekeeper{
+		config: config, metrics: metrics.NewSet(), started: make(chan struct{}), held: exchanger.NewMeter(config.HeldBytes, nil),
+	}
 	g.counters = newCounters(g.metrics)
 	exchange := &exchanger.Config{
-		Headers: &g.config.Headers.Headers, Dial: config.Dial, MaxAnswer: maxAnswer, OnConnect: g.onConnect,
+		Headers: &g.config.Headers.Headers, Dial: config.Dial, MaxAnswer: maxAnswer, Meter: g.held, OnConnect: g.onConnect,
 	}
 	g.fleet = newFleet(exchange, config)
-	g.server = &http.Server{Handler: g, IdleTimeout: defaultIdle, ReadHeaderTimeout: defaultIdle}
+	g.server = &http.Server{Handler: g, IdleTimeout: defaultIdle, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
 	return g
 }
 
@@ -186,7 +203,13 @@
 		g.refuse(w, refusal{status: http.StatusBadRequest, reason: "no request id", version: table.Version()})
 		return
 	}
-	body, err := readBody(w, r, bodyLimit(table))
+	room := bodyRoom(r, bodyLimit(table))
+	if !g.held.Take(room) {
+		g.refuse(w, refusal{id: id, status: http.StatusServiceUnavailable, retryAfter: retryFull, reason: "no memory is left for bodies", version: table.Version()})
+		return
+	}
+	defer g.held.Return(room)
+	body, err := readBody(w, r, bodyLimit(table), arrived.Add(patience(r.Header, g.config.Headers.TimeLeft)))
 	if err != nil {
 		g.refuseBody(w, id, err)
 		return
--- a/pkg/gatekeeper/plain.go
+++ b/pkg/gatekeeper/plain.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lovagedeck/pkg/exchanger"
 	"lovagedeck/pkg/gatherer"
 	"lovagedeck/pkg/placer"
@@ -247,6 +249,9 @@
 
 // outcomeOf reads the end of an exchange as a statement about the leaf.
 func (g *Gatekeeper) outcomeOf(result exchanger.Result) placer.Outcome {
+	if errors.Is(result.Err, exchanger.ErrNoRoom) {
+		return placer.Dropped
+	}
 	if result.Answer == nil {
 		if result.Sent {
 			return placer.Faulty
--- a/pkg/gatekeeper/request.go
+++ b/pkg/gatekeeper/request.go
@@ -67,12 +67,34 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, error) {
+// bodyRoom returns how many bytes the body of a request may take.
+func bodyRoom(r *http.Request, limit int) int64 {
+	if r.Body == nil || r.Body == http.NoBody {
+		return 0
+	}
+	if r.ContentLength >= 0 {
+		return min(r.ContentLength, int64(limit))
+	}
+	return int64(limit)
+}
+
+// readBody reads a body of at most limit bytes until the time at which its caller stops waiting.
+func readBody(w http.ResponseWriter, r *http.Request, limit int, until time.Time) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(until); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, errors.Wrap(err, "bound the reading of the body")
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-	return body, errors.Wrap(err, "read the body")
+	if err != nil {
+		return nil, errors.Wrap(err, "read the body")
+	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, errors.Wrap(err, "end the bound on the reading of the body")
+	}
+	return body, nil
 }
 
 // head returns the request line and headers that all attempts share.
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -20,6 +20,10 @@
 	mergeMargin = 5 * time.Millisecond
 	// lateFactor is how many objectives a late answer waits for its missing shards.
 	lateFactor = 2
+	// partRecords bounds a part, in records for each one that the answer holds, and leastPart the bound, in bytes: upstreams
+	// send about as many records as the answer takes, and some send more.
+	partRecords = 64
+	leastPart   = 64 << 10
 )
 
 type (
@@ -37,8 +41,10 @@
 		attempts []*attempt
 		ends     chan exchangeEnd
 		top      *gatherer.Top
-		proofs   []string
-		extra    int
+		// meter counts the parts that are held.
+		meter  *exchanger.Meter
+		proofs []string
+		extra  int
 		// overBudget counts the repeated requests that the budget did not allow.
 		overBudget int
 		due        time.Duration
@@ -106,6 +112,7 @@
 		gate: g, in: in, course: gatherer.New(plan), shards: shards, tried: make([][]*placer.Leaf, len(shards)),
 		ran: make([][]*placer.Leaf, len(shards)), arrived: make([]bool, len(shards)),
 		ends: make(chan exchangeEnd, len(shards)*in.route.Attempts()), top: gatherer.NewTop(in.route.TopRecords()), due: plan.Due,
+		meter: exchanger.NewMeter(int64(queryShare*float64(g.config.HeldBytes)), g.held),
 	}
 }
 
@@ -158,6 +165,9 @@
 	}
 }
 
+// partLimit is the longest part of a route, in bytes.
+func partLimit(records int) int { return max(leastPart, partRecords*records*gatherer.RecordBytes) }
+
 // running returns the attempts of a shard that were sent and have not ended.
 func (q *query) running(shard int) []*attempt {
 	var running []*attempt
--- a/pkg/gatekeeper/scatter_ask.go
+++ b/pkg/gatekeeper/scatter_ask.go
@@ -126,6 +126,7 @@
 func (q *query) send(shard int, a *attempt) {
 	q.course.OnSent(shard, q.gate.config.Now())
 	request := q.in.request
+	request.Meter, request.MaxAnswer = q.meter, partLimit(q.in.route.TopRecords())
 	request.Deadline = time.Now().Add(q.course.AttemptUntil(shard, q.gate.config.Now()) - q.gate.config.Now())
 	a.ticket = a.upstream.pool.Start(&request, func(result exchanger.Result) {
 		q.ends <- exchangeEnd{shard: shard, attempt: a, result: result}
--- a/pkg/linker/linker.go
+++ b/pkg/linker/linker.go
@@ -80,7 +80,7 @@
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "connect to instance %s", peer)
 	}
-	return rpc.NewClient(conn), nil
+	return rpc.NewClientWithCodec(newClientCodec(conn)), nil
 }
 
 // Serve accepts connections on listener until Close and serves receivers by name.
--- a/pkg/placer/leaf.go
+++ b/pkg/placer/leaf.go
@@ -57,6 +57,8 @@
 	Expired
 	// Silent means that the request was given up without an answer.
 	Silent
+	// Dropped means that this instance had no memory left for the answer, which says nothing of the leaf.
+	Dropped
 )
 
 type (
@@ -124,6 +126,8 @@
 		return "stopped at its time limit"
 	case Silent:
 		return "silent"
+	case Dropped:
+		return "dropped here for lack of memory"
 	}
 	return "unknown"
 }
--- a/pkg/steward/document.go
+++ b/pkg/steward/document.go
@@ -28,6 +28,9 @@
 }
 
 func expand(compressed []byte) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxDocument))
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxDocument+1))
+	if err == nil && len(body) > maxDocument {
+		err = errors.Errorf("more than %d bytes", maxDocument)
+	}
 	return body, errors.Wrap(err, "expand the routing document")
 }
--- a/pkg/steward/entry.go
+++ b/pkg/steward/entry.go
@@ -62,7 +62,7 @@
 		return nil, err
 	}
 	e.gate = gatekeeper.New(gatekeeper.Config{
-		Headers: headers, Instance: settings.Instance, DataCentre: settings.DataCentre, Travel: callerTravel,
+		Headers: headers, Instance: settings.Instance, DataCentre: settings.DataCentre, Travel: callerTravel, HeldBytes: settings.heldBytes(),
 		Budget: hedger.SharedBound{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
 		Decode: func(version uint64, packed []byte) (*router.Table, error) {
 			return decodePacked(decode, version, packed)
--- a/pkg/steward/settings.go
+++ b/pkg/steward/settings.go
@@ -36,6 +36,8 @@
 		Founding bool
 		// MemoryLimit is the memory beyond which the process is killed, in bytes; 0 is no limit.
 		MemoryLimit int64
+		// HeldBytes bounds the bodies of requests and answers that are held at one time; 0 is a part of MemoryLimit.
+		HeldBytes int64
 		// DataFolder holds the files of a control instance.
 		DataFolder string
 		// ToleratedLosses is how many control instances may lose their disks at once.
@@ -68,6 +70,8 @@
 		return errors.New("settings: there is no port for calls between instances")
 	case len(s.SeedHosts) == 0:
 		return errors.New("settings: there is no seed")
+	case s.HeldBytes < 0:
+		return errors.New("settings: the memory for bodies is negative")
 	case s.Operators != "" && s.DataFolder == "":
 		return errors.New("settings: a control instance needs a data folder")
 	}
@@ -75,6 +79,9 @@
 }
 
 const (
+	// heldShare is the part of the memory that bodies may take: the collector lets about as much garbage stand, and connections
+	// and tables need the rest.
+	heldShare = 0.125
 	// defaultDrainBound holds where the settings name none.
 	defaultDrainBound = 3 * time.Second
 	// listShareOfDrain is the time between readings of the list of leafs, in drain bounds: handing a reading on takes up to
@@ -85,6 +92,14 @@
 	ownListShareOfDrain = 0.73
 )
 
+// heldBytes returns the bound on the bodies that are held at one time, 0 where the memory has no limit.
+func (s Settings) heldBytes() int64 {
+	if s.HeldBytes > 0 {
+		return s.HeldBytes
+	}
+	return int64(heldShare * float64(s.MemoryLimit))
+}
+
 func (s Settings) drainBound() time.Duration {
 	if s.DrainBound > 0 {
 		return s.DrainBound
--- a/soak/leafs_test.go
+++ b/soak/leafs_test.go
@@ -220,6 +220,10 @@
 	default:
 		time.Sleep(leafWork)
 	}
+	if how == "endless" {
+		writeEndlessly(w)
+		return
+	}
 	proof := l.proof(id)
 	w.Header().Set("X-Lovagedeck-Server-Stamp", proof)
 	if how == "fail" {
@@ -235,6 +239,16 @@
 	_, _ = w.Write(part)
 }
 
+// writeEndlessly sends a body until the connection is closed.
+func writeEndlessly(w http.ResponseWriter) {
+	piece := make([]byte, 32<<10)
+	for {
+		if _, err := w.Write(piece); err != nil {
+			return
+		}
+	}
+}
+
 // proof names service, leaf and request, so that the judge can check whose part it is.
 func (l *leaf) proof(requestID string) string { return l.service + "." + l.id + "." + requestID }
 
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -27,7 +27,9 @@
 type (
 	// traffic is the callers and the operator of one run.
 	traffic struct {
-		stage   *stage
+		stage *stage
+		// shards are the services of a query.
+		shards  []string
 		seed    uint64
 		stop    chan bool
 		group   sync.WaitGroup
@@ -39,7 +41,7 @@
 )
 
 func newTraffic(s *stage, seed uint64) *traffic {
-	return &traffic{stage: s, seed: seed, stop: make(chan bool), bodies: map[uint64]string{}}
+	return &traffic{stage: s, shards: shardNames, seed: seed, stop: make(chan bool), bodies: map[uint64]string{}}
 }
 
 func (tr *traffic) start() {
@@ -86,7 +88,7 @@
 		case 4:
 			tr.request(client, p, "GET", "/safe/", nil, false, random)
 		default:
-			tr.request(client, p, "GET", "/sweep/", shardNames, false, random)
+			tr.request(client, p, "GET", "/sweep/", tr.shards, false, random)
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(2 * callPause))))
 	}
@@ -164,10 +166,10 @@
 
 func (tr *traffic) document(version uint64) string {
 	services, shards := "", ""
-	for _, name := range append([]string{"once", "safe"}, shardNames...) {
+	for _, name := range append([]string{"once", "safe"}, tr.shards...) {
 		services += fmt.Sprintf(`{"name":%q,"maxConnections":40},`, name)
 	}
-	for _, name := range shardNames {
+	for _, name := range tr.shards {
 		shards += fmt.Sprintf("%q,", name)
 	}
 	route := func(name, host, prefix, kind, rest string) string {
