Gather shards of a query in slices, at a few instances of each data centre

Load pattern: 295 instances, 180 shards of three leafs; an instance gets a query in five seconds, so each request to a leaf opened a connection (199,549 for 200,237 requests), and all parts of a query pass one link of 51 Mbit/s and 0.19 of a processor.

Change: slicer gives each shard one instance of each data centre that has a leaf of it, by rendezvous over the members; a query hands groups of shards over (aggregator, net/rpc) and merges the reports. An instance reports when a shard is late or failed, and asks second leafs only once the other one grants it, so that a slice that was taken back cannot run on more leafs than the route allows. A silent, failing or stopping instance is left out, and its shards are asked here. What a gatherer sees of its leafs is not told to others. Fewer than eight instances in a data centre ask all leafs themselves, as before. distantWeight 0.15 -> 1.0, faultWeight 6 -> 8.

--- /dev/null
+++ b/pkg/aggregator/doc.go
@@ -0,0 +1,2 @@
+// Package aggregator carries slices of queries between entry instances, over net/rpc.
+package aggregator
--- a/pkg/gatekeeper/counters.go
+++ b/pkg/gatekeeper/counters.go
@@ -21,6 +21,8 @@
 	callerLeft    *metrics.Counter
 	noLeaf        *metrics.Counter
 	overBudget    *metrics.Counter
+	slices        *metrics.Counter
+	slicesLost    *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -35,6 +37,8 @@
 		passed:        set.NewCounter(`gatekeeper_answers_total{kind="passed"}`),
 		callerLeft:    set.NewCounter("gatekeeper_callers_left_total"),
 		noLeaf:        set.NewCounter(`gatekeeper_attempts_denied_total{reason="no leaf"}`),
+		slices:        set.NewCounter("gatekeeper_slices_gathered_total"),
+		slicesLost:    set.NewCounter("gatekeeper_slices_taken_back_total"),
 		overBudget:    set.NewCounter(`gatekeeper_attempts_denied_total{reason="budget"}`),
 	}
 }
--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -12,11 +12,13 @@
 
 	"github.com/go-logr/logr"
 
+	"lovagedeck/pkg/aggregator"
 	"lovagedeck/pkg/exchanger"
 	"lovagedeck/pkg/hedger"
 	"lovagedeck/pkg/lister"
 	"lovagedeck/pkg/placer"
 	"lovagedeck/pkg/router"
+	"lovagedeck/pkg/slicer"
 	"lovagedeck/pkg/spreader"
 	"lovagedeck/pkg/tabulator"
 )
@@ -55,6 +57,12 @@
 		tell     func(spreader.Observation)
 		badShare float64
 		warming  chan struct{}
+		// peers gather shards for this instance; nil where each instance asks all leafs itself.
+		peers *aggregator.Peers
+		// members are the instances of the newest view, with their addresses.
+		members   []slicer.Member
+		addresses map[string]string
+		slicing   slicing
 	}
 
 	// lastSeen is when an instance was a member for the last time.
@@ -83,7 +91,7 @@
 		random: config.Random, instances: 1,
 		services: map[string]*service{}, leafs: map[string]*upstream{}, kinds: map[string]*kind{}, out: map[string]bool{},
 		seen: map[string]lastSeen{}, instanceSet: placer.InstanceSet{DataCentre: config.DataCentre, Instances: map[string]int{config.DataCentre: 1}},
-		warming: make(chan struct{}, 1),
+		warming: make(chan struct{}, 1), peers: config.Peers,
 	}
 	go f.warmLoop()
 	time.AfterFunc(warmAfter, f.openAhead)
@@ -193,6 +201,11 @@
 	for _, member := range members {
 		f.seen[member.Instance()] = lastSeen{at: now, dataCentre: member.DataCentre()}
 	}
+	f.members, f.addresses = make([]slicer.Member, 0, len(members)), make(map[string]string, len(members))
+	for _, member := range members {
+		f.members = append(f.members, slicer.Member{Instance: member.Instance(), DataCentre: member.DataCentre()})
+		f.addresses[member.Instance()] = member.FellowAddress()
+	}
 	f.instances, f.instanceSet = 0, placer.InstanceSet{DataCentre: f.centre, Instances: map[string]int{}}
 	for name, seen := range f.seen {
 		if now-seen.at > memberMemory {
--- a/pkg/gatekeeper/fleet_attempts.go
+++ b/pkg/gatekeeper/fleet_attempts.go
@@ -53,6 +53,8 @@
 	kind struct {
 		typical time.Duration
 		late    *hedger.Quantile
+		// report is how long other instances take until their first report on a slice.
+		report *hedger.Quantile
 	}
 
 	// need says which leafs will do for a request.
@@ -86,6 +88,7 @@
 		k = &kind{
 			typical: time.Duration(firstTypical * objective),
 			late:    hedger.NewQuantileAt(lateQuantile, time.Duration(firstLate*objective)),
+			report:  newReportQuantile(objective),
 		}
 		f.kinds[key] = k
 	}
--- a/pkg/gatekeeper/fleet_budget.go
+++ b/pkg/gatekeeper/fleet_budget.go
@@ -4,12 +4,24 @@
 
 import "lovagedeck/pkg/hedger"
 
-// countRequests counts one request for each of the services, however often it is tried.
-func (f *fleet) countRequests(services []string) {
+// countRequest counts a request of a caller, and one for each of the services that this instance asks, however often they are
+// tried.
+func (f *fleet) countRequest(services []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.load.OnRequest(f.now())
+	f.countServices(services)
+}
+
+// countSlice counts one request for each service of a slice; the caller's request is counted where it arrived.
+func (f *fleet) countSlice(services []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.countServices(services)
+}
+
+func (f *fleet) countServices(services []string) {
 	now := f.now()
-	f.load.OnRequest(now)
 	if !f.opensAhead {
 		f.opensAhead = true
 		f.wantWarm()
--- a/pkg/gatekeeper/fleet_connections.go
+++ b/pkg/gatekeeper/fleet_connections.go
@@ -37,7 +37,11 @@
 // share splits the connections of each leaf and the budget of each service over the instances.
 func (f *fleet) share() {
 	f.shareBudget()
+	f.slice()
 	for _, s := range f.services {
+		if f.shareGathered(s) {
+			continue
+		}
 		locations := make([]placer.Location, 0, len(s.upstreams))
 		for _, m := range s.upstreams {
 			if fields := m.leaf.Fields(); !fields.Leaving {
--- a/pkg/gatekeeper/fleet_observations.go
+++ b/pkg/gatekeeper/fleet_observations.go
@@ -17,7 +17,8 @@
 	trustLimit = 0.5
 )
 
-// tellNews passes on what the end of an attempt says of the leaf, unless most leafs look bad from here.
+// tellNews passes on what the end of an attempt says of the leaf, unless most leafs look bad from here. Of a shard that this
+// instance gathers the others need not know: they do not ask its leafs.
 func (f *fleet) tellNews(leaf *placer.Leaf, now time.Duration) {
 	observation, news := leaf.News(now)
 	bad := 0.0
@@ -25,7 +26,7 @@
 		bad = 1
 	}
 	f.badShare += trustGain * (bad - f.badShare)
-	if !news || f.tell == nil || f.badShare > trustLimit {
+	if !news || f.tell == nil || f.badShare > trustLimit || f.slicing.plan.Gathers(f.self, leaf.Fields().Service) {
 		return
 	}
 	f.tell(spreader.Observation{
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"lovagedeck/pkg/aggregator"
 	"lovagedeck/pkg/exchanger"
 	"lovagedeck/pkg/hedger"
 	"lovagedeck/pkg/lister"
@@ -76,6 +77,8 @@
 		Log    logr.Logger
 		// Tell takes what this instance saw of a leaf, for the others; nil tells nobody.
 		Tell func(spreader.Observation)
+		// Peers gather shards of this instance's queries; nil lets it ask all leafs itself.
+		Peers *aggregator.Peers
 	}
 
 	// Gatekeeper serves the callers of one instance.
@@ -83,7 +86,9 @@
 		config Config
 		fleet  *fleet
 		// held counts the bodies of requests and answers.
-		held     *exchanger.Meter
+		held *exchanger.Meter
+		// slices are what this instance gathers for others.
+		slices   *sliceSet
 		table    atomic.Pointer[router.Table]
 		draining atomic.Bool
 		listed   atomic.Bool
@@ -102,7 +107,7 @@
 		config.HeldBytes = defaultHeldBytes
 	}
 	g := &Gatekeeper{
-		config: config, metrics: metrics.NewSet(), started: make(chan struct{}), held: exchanger.NewMeter(config.HeldBytes, nil),
+		config: config, metrics: metrics.NewSet(), started: make(chan struct{}), held: exchanger.NewMeter(config.HeldBytes, nil), slices: newSliceSet(),
 	}
 	g.counters = newCounters(g.metrics)
 	exchange := &exchanger.Config{
@@ -226,7 +231,7 @@
 	headers := &g.config.Headers
 	deadline := arrived.Add(patience(r.Header, headers.TimeLeft))
 	return &inbound{
-		id: id, arrived: arrived, route: route, table: table, deadline: deadline,
+		id: id, arrived: arrived, route: route, version: table.Version(), deadline: deadline,
 		request: exchanger.Request{
 			ID: id, Head: head(r, &headers.Headers, body), Body: body, NoAnswerBody: r.Method == http.MethodHead,
 			Deadline: deadline, Once: !route.Idempotent(),
--- a/pkg/gatekeeper/gatekeeper_test.go
+++ b/pkg/gatekeeper/gatekeeper_test.go
@@ -52,34 +52,42 @@
 	}
 )
 
-func newTier(t testing.TB, services ...string) *testTier {
-	t.Helper()
+func testConfig() Config {
 	began := time.Now()
-	tier := &testTier{t: t}
-	tier.gate = New(Config{
+	return Config{
 		Headers: testHeaders, Instance: "entry-1", DataCentre: "a", Budget: hedger.SharedBound{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Decode: func(uint64, []byte) (*router.Table, error) { return nil, nil },
 		Dial: func(address string, timeout time.Duration) (net.Conn, error) {
 			return net.DialTimeout("tcp", address, timeout)
 		},
 		Now: func() time.Duration { return time.Since(began) }, Random: rand.New(rand.NewPCG(1, 1)), Log: logr.Discard(),
-	})
+	}
+}
+
+func newTier(t testing.TB, services ...string) *testTier {
+	t.Helper()
+	tier := serveTier(t, New(testConfig()))
 	for _, name := range services {
 		tier.leafs = append(tier.leafs, newTestLeaf(t, fmt.Sprintf("%s-%d", name, len(tier.leafs)), name))
 	}
+	tier.list()
+	return tier
+}
+
+// serveTier lets the gatekeeper take callers.
+func serveTier(t testing.TB, gate *Gatekeeper) *testTier {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	tier.address = listener.Addr().String()
-	go func() { _ = tier.gate.Serve(listener) }()
+	go func() { _ = gate.Serve(listener) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_ = tier.gate.Shutdown(ctx)
+		_ = gate.Shutdown(ctx)
 	})
-	tier.list()
-	return tier
+	return &testTier{t: t, gate: gate, address: listener.Addr().String()}
 }
 
 func newTestLeaf(t testing.TB, id, service string) *testLeaf {
--- a/pkg/gatekeeper/note.go
+++ b/pkg/gatekeeper/note.go
@@ -15,7 +15,7 @@
 	fields := a.upstream.leaf.Fields()
 	picture := g.fleet.picture(a)
 	g.config.Log.Info("gatekeeper: another attempt", "request", in.id, "kind", kind, "why", why, "route", in.route.Name(),
-		"version", in.table.Version(), "service", fields.Service, "leaf", fields.ID, "data-centre", fields.DataCentre,
+		"version", in.version, "service", fields.Service, "leaf", fields.ID, "data-centre", fields.DataCentre,
 		"running", picture.Running, "limit", picture.Limit, "slowness", picture.Slowness, "faults", picture.Faults)
 }
 
--- a/pkg/gatekeeper/plain.go
+++ b/pkg/gatekeeper/plain.go
@@ -87,7 +87,7 @@
 	g.fleet.mu.Lock()
 	service := in.route.Service(g.fleet.random.Float64())
 	g.fleet.mu.Unlock()
-	g.fleet.countRequests([]string{service})
+	g.fleet.countRequest([]string{service})
 	now := g.config.Now()
 	giveUp := now + time.Until(in.giveUpAt())
 	plan := gatherer.Plan{
@@ -218,7 +218,7 @@
 	took := time.Since(in.arrived)
 	g.counters.passed.Inc()
 	g.counters.duration("plain").Update(took.Seconds())
-	g.config.Log.Info("gatekeeper: passed", "request", in.id, "route", in.route.Name(), "version", in.table.Version(),
+	g.config.Log.Info("gatekeeper: passed", "request", in.id, "route", in.route.Name(), "version", in.version,
 		"leaf", end.attempt.upstream.leaf.Fields().ID, "status", result.Status(), "took-ms", took.Milliseconds(),
 		"queued-ms", result.Queued.Milliseconds(), "leaf-ms", result.Travelled.Milliseconds())
 	result.Release()
@@ -235,7 +235,7 @@
 	in := f.in
 	refused := refusal{
 		id: in.id, status: http.StatusServiceUnavailable, retryAfter: retryFull, reason: f.last.reason,
-		route: in.route.Name(), version: in.table.Version(), took: time.Since(in.arrived), asked: len(f.tried),
+		route: in.route.Name(), version: in.version, took: time.Since(in.arrived), asked: len(f.tried),
 		patience: in.deadline.Sub(in.arrived),
 	}
 	if f.last.ran {
--- a/pkg/gatekeeper/request.go
+++ b/pkg/gatekeeper/request.go
@@ -26,7 +26,7 @@
 		id       string
 		arrived  time.Time
 		route    *router.Route
-		table    *router.Table
+		version  uint64
 		deadline time.Time
 		request  exchanger.Request
 	}
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -40,14 +40,17 @@
 		arrived  []bool
 		attempts []*attempt
 		ends     chan exchangeEnd
-		top      *gatherer.Top
+		// slices are the shards that other instances gather, by shard; nil where this one asks the leafs.
+		slices  []*handedSlice
+		reports chan sliceReport
+		top     *gatherer.Top
 		// meter counts the parts that are held.
 		meter  *exchanger.Meter
 		proofs []string
 		extra  int
 		// overBudget counts the repeated requests that the budget did not allow.
 		overBudget int
-		due        time.Duration
+		plan       gatherer.Plan
 	}
 
 	exchangeEnd struct {
@@ -59,7 +62,7 @@
 
 func (g *Gatekeeper) scatter(w http.ResponseWriter, r *http.Request, in *inbound) {
 	q := g.newQuery(in)
-	defer q.abandonAll(r)
+	defer func() { q.abandonAll(r.Context().Err() != nil) }()
 	if !q.askAll() {
 		q.refuse(w)
 		return
@@ -72,20 +75,14 @@
 			q.answer(w, verdict)
 			return
 		}
-		for _, shard := range q.course.Late(now) {
-			q.gate.fleet.silent(q.running(shard))
-			q.arrived[shard] = true
-			q.ask(shard, q.hedgeNeed(now))
-		}
-		for _, shard := range q.course.PauseOver(now) {
-			q.tried[shard] = slices.Clone(q.ran[shard])
-			q.ask(shard, needAny)
-		}
+		q.hedge(now)
 		timer.Reset(q.course.Wake(now) - now)
 		select {
 		case end := <-q.ends:
 			q.onEnd(end)
 			q.drainEnds()
+		case report := <-q.reports:
+			q.onReport(report)
 		case <-timer.C:
 		case <-r.Context().Done():
 			g.counters.callerLeft.Inc()
@@ -108,14 +105,34 @@
 		LateUntil: min(giveUp, at(in.arrived.Add(lateFactor*objective))), GiveUp: giveUp,
 		RetryUntil: giveUp,
 	}
+	return g.queryOf(in, plan)
+}
+
+// queryOf returns a query of which nothing was asked yet.
+func (g *Gatekeeper) queryOf(in *inbound, plan gatherer.Plan) *query {
+	shards := in.route.Shards()
 	return &query{
-		gate: g, in: in, course: gatherer.New(plan), shards: shards, tried: make([][]*placer.Leaf, len(shards)),
-		ran: make([][]*placer.Leaf, len(shards)), arrived: make([]bool, len(shards)),
-		ends: make(chan exchangeEnd, len(shards)*in.route.Attempts()), top: gatherer.NewTop(in.route.TopRecords()), due: plan.Due,
+		gate: g, in: in, course: gatherer.New(plan), plan: plan, shards: shards, tried: make([][]*placer.Leaf, len(shards)),
+		ran: make([][]*placer.Leaf, len(shards)), arrived: make([]bool, len(shards)), slices: make([]*handedSlice, len(shards)),
+		ends: make(chan exchangeEnd, len(shards)*in.route.Attempts()), reports: make(chan sliceReport, len(shards)),
+		top:   gatherer.NewTop(in.route.TopRecords()),
 		meter: exchanger.NewMeter(int64(queryShare*float64(g.config.HeldBytes)), g.held),
 	}
 }
 
+// hedge asks late shards again, and those whose pause is over.
+func (q *query) hedge(now time.Duration) {
+	for _, shard := range q.withoutSilentSlices(q.course.Late(now)) {
+		q.gate.fleet.silent(q.running(shard))
+		q.arrived[shard] = true
+		q.ask(shard, q.hedgeNeed(now))
+	}
+	for _, shard := range q.course.PauseOver(now) {
+		q.tried[shard] = slices.Clone(q.ran[shard])
+		q.ask(shard, needAny)
+	}
+}
+
 // hedgeDelay is the usual longest time of a shard, but early enough for the second attempt to be in time.
 func (g *Gatekeeper) hedgeDelay(in *inbound) time.Duration {
 	g.fleet.mu.Lock()
@@ -184,13 +201,13 @@
 }
 
 // abandonAll gives up what still runs. When the caller left, upstreams are told by closing their connections.
-func (q *query) abandonAll(r *http.Request) {
-	callerLeft := r.Context().Err() != nil
+func (q *query) abandonAll(callerLeft bool) {
 	for _, a := range q.attempts {
 		sent := a.ticket.Sent()
 		a.ticket.Abandon(callerLeft)
 		q.gate.fleet.endLate(a, sent)
 	}
+	q.dropSlices(callerLeft)
 	for {
 		select {
 		case end := <-q.ends:
@@ -227,8 +244,8 @@
 	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(body)
 	g.counters.duration("scatter").Update(took.Seconds())
-	g.config.Log.Info("gatekeeper: answered", "request", q.in.id, "route", q.in.route.Name(), "version", q.in.table.Version(),
-		"parts", q.course.Parts(), "missing", q.missing(), "extra", q.extra, "over-budget", q.overBudget, "took-ms", took.Milliseconds(),
+	g.config.Log.Info("gatekeeper: answered", "request", q.in.id, "route", q.in.route.Name(), "version", q.in.version,
+		"parts", q.course.Parts(), "missing", q.missing(), "handed", q.handedTo(), "extra", q.extra, "over-budget", q.overBudget, "took-ms", took.Milliseconds(),
 		"objective-ms", q.in.route.Objective().Milliseconds())
 }
 
@@ -236,14 +253,14 @@
 func (q *query) refuse(w http.ResponseWriter) {
 	q.gate.refuse(w, refusal{
 		id: q.in.id, status: http.StatusServiceUnavailable, retryAfter: retryFull, reason: "too few shards have a leaf",
-		route: q.in.route.Name(), version: q.in.table.Version(), took: time.Since(q.in.arrived),
+		route: q.in.route.Name(), version: q.in.version, took: time.Since(q.in.arrived),
 		patience: q.in.deadline.Sub(q.in.arrived),
 	})
 }
 
 func (q *query) fail(w http.ResponseWriter, status int, reason string, took time.Duration) {
 	q.gate.refuse(w, refusal{
-		id: q.in.id, status: status, reason: reason, route: q.in.route.Name(), version: q.in.table.Version(), took: took,
+		id: q.in.id, status: status, reason: reason, route: q.in.route.Name(), version: q.in.version, took: took,
 		asked: len(q.shards) + q.extra, patience: q.in.deadline.Sub(q.in.arrived),
 	})
 }
@@ -252,14 +269,21 @@
 func (q *query) missing() []string {
 	var missing []string
 	for shard, name := range q.shards {
-		if q.course.Done(shard) {
-			continue
+		if !q.course.Done(shard) {
+			missing = append(missing, name+"("+q.asked(shard)+")")
 		}
-		var asked []string
-		for _, leaf := range q.tried[shard] {
-			asked = append(asked, leaf.Fields().ID)
-		}
-		missing = append(missing, name+"("+strings.Join(asked, " ")+")")
 	}
 	return missing
 }
+
+// asked names the leafs of a shard that were asked.
+func (q *query) asked(shard int) string {
+	var asked []string
+	if s := q.slices[shard]; s != nil {
+		asked = append(asked, s.call.Instance()+": "+s.open[shard])
+	}
+	for _, leaf := range q.tried[shard] {
+		asked = append(asked, leaf.Fields().ID)
+	}
+	return strings.Join(asked, " ")
+}
--- a/pkg/gatekeeper/scatter_ask.go
+++ b/pkg/gatekeeper/scatter_ask.go
@@ -13,18 +13,28 @@
 // whether a shard without a ready leaf can be missed. It sends none, and returns false, where more shards have no leaf at
 // all than an answer may lack.
 func (q *query) askAll() bool {
-	q.gate.fleet.countRequests(q.shards)
-	placed, enough := q.placeAll()
+	groups := q.groupByInstance()
+	q.gate.fleet.countRequest(q.ownShards(groups))
+	placed, enough := q.placeAll(groups)
 	if !enough {
 		q.takeBack()
 		return false
 	}
+	q.handOver(groups)
+	q.sendAll(placed)
+	return true
+}
+
+// sendAll sends the requests of the shards that no other instance gathers.
+func (q *query) sendAll(placed []*attempt) {
 	inTime := 0
 	for shard := range q.shards {
 		switch a := placed[shard]; {
+		case q.slices[shard] != nil:
+			inTime++
 		case a == nil:
 			q.course.OnDenied(shard, q.gate.config.Now())
-		case a.begun+a.expected <= q.due:
+		case a.begun+a.expected <= q.plan.Due:
 			inTime++
 		}
 	}
@@ -34,24 +44,25 @@
 			q.send(shard, a)
 		}
 	}
-	return true
 }
 
-// placeAll chooses a leaf for each shard, where needed also one that is not ready, and tells whether these make an answer.
-func (q *query) placeAll() (placed []*attempt, enough bool) {
+// placeAll chooses a leaf for each shard that this instance asks, where needed also one that is not ready, and tells whether
+// these and the shards of other instances make an answer.
+func (q *query) placeAll(groups map[string][]int) (placed []*attempt, enough bool) {
 	placed = make([]*attempt, len(q.shards))
-	least := q.in.route.MinParts()
-	found := q.placeMissing(placed, needReady)
+	own := q.ownPlaces(groups)
+	least := q.in.route.MinParts() - (len(q.shards) - len(own))
+	found := q.placeMissing(placed, own, needReady)
 	if found < least {
-		found += q.placeMissing(placed, needAny)
+		found += q.placeMissing(placed, own, needAny)
 	}
 	return placed, found >= least
 }
 
-// placeMissing chooses a leaf for each shard that has none yet, and returns for how many it found one.
-func (q *query) placeMissing(placed []*attempt, need need) int {
+// placeMissing chooses a leaf for each of the shards that has none yet, and returns for how many it found one.
+func (q *query) placeMissing(placed []*attempt, shards []int, need need) int {
 	found := 0
-	for shard := range q.shards {
+	for _, shard := range shards {
 		if placed[shard] != nil {
 			continue
 		}
--- /dev/null
+++ b/pkg/gatekeeper/slice.go
@@ -0,0 +1,269 @@
+// A slice gathers some shards of a query for another instance, which answers
+// the caller. It reports when a shard is late or failed, so that the other
+// instance knows early that this one is at work; second leafs are asked once it
+// grants them. Further reports come at the due time of the query, and from then
+// on again and again.
+
+package gatekeeper
+
+import (
+	"sync"
+	"time"
+
+	"lovagedeck/pkg/aggregator"
+	"lovagedeck/pkg/exchanger"
+	"lovagedeck/pkg/gatherer"
+	"lovagedeck/pkg/router"
+)
+
+const (
+	// maxSlices bounds the slices under way; a query has one at an instance, and takes some tens of milliseconds.
+	maxSlices = 2048
+	// collectTime is how long the last report of a slice is kept for the instance that asked.
+	collectTime = time.Second
+)
+
+type (
+	// slices are the parts of other instances' queries that this instance gathers.
+	sliceSet struct {
+		mu      sync.Mutex
+		running map[aggregator.SliceID]*slice
+	}
+
+	// slice is one of them.
+	slice struct {
+		query *query
+		id    aggregator.SliceID
+		set   *sliceSet
+		// stop ends the slice, with the work at the leafs where it carries true.
+		stop chan bool
+		// granted tells that the other instance allows all attempts.
+		granted chan struct{}
+		// ready has room for one word that a report can be collected.
+		ready chan struct{}
+		mu    sync.Mutex
+		next  aggregator.Report
+		// reportAt is when the next report is due, unless parts come before.
+		reportAt time.Duration
+		reported bool
+		// parts are the shards whose parts are in no report yet.
+		parts []int
+	}
+)
+
+func newSliceSet() *sliceSet { return &sliceSet{running: map[aggregator.SliceID]*slice{}} }
+
+// GatherSlice takes a slice of another instance's query and returns its first report.
+func (g *Gatekeeper) GatherSlice(query aggregator.SliceQuery) aggregator.Report {
+	if reason := g.refusesSlice(query); reason != "" {
+		g.config.Log.Info("gatekeeper: slice refused", "request", query.Request, "from", query.From, "reason", reason)
+		return aggregator.Report{NotRun: reason, Final: true}
+	}
+	s := g.newSlice(query)
+	if !g.slices.add(s) {
+		return aggregator.Report{NotRun: "too many slices are under way", Final: true}
+	}
+	g.counters.slices.Inc()
+	go s.run()
+	return s.collect(g)
+}
+
+// MoreOfSlice returns the next report of a slice.
+func (g *Gatekeeper) MoreOfSlice(id aggregator.SliceID) aggregator.Report {
+	s := g.slices.find(id)
+	if s == nil {
+		return aggregator.Report{NotRun: "the slice is not known", Final: true}
+	}
+	s.grant()
+	return s.collect(g)
+}
+
+// DropSlice ends a slice; cut ends the work at the leafs as well.
+func (g *Gatekeeper) DropSlice(id aggregator.SliceID, cut bool) {
+	if s := g.slices.find(id); s != nil {
+		s.end(cut)
+	}
+}
+
+func (g *Gatekeeper) refusesSlice(query aggregator.SliceQuery) string {
+	switch {
+	case !g.Ready():
+		return "the instance is not ready"
+	case query.GiveUp <= 0 || query.CallerLeft <= 0:
+		return "the time is over"
+	case len(query.Services) == 0 || query.Request == "":
+		return "the slice is empty"
+	}
+	return ""
+}
+
+func (g *Gatekeeper) newSlice(query aggregator.SliceQuery) *slice {
+	now := g.config.Now()
+	route := router.NewRoute(router.RouteFields{
+		Name: query.RouteName, Host: query.Host, Prefix: query.Prefix, Idempotent: true, Timeout: query.GiveUp,
+		Objective: query.Objective, Attempts: query.Attempts, Shards: query.Services, TopRecords: query.Records,
+		MinCoverage: float64(query.MinParts) / float64(len(query.Services)),
+	})
+	deadline := time.Now().Add(query.CallerLeft)
+	in := &inbound{
+		id: query.Request, arrived: time.Now(), route: route, version: query.Version, deadline: deadline,
+		request: exchanger.Request{ID: query.Request, Head: query.Head, Body: query.Body, Deadline: deadline},
+	}
+	plan := gatherer.Plan{
+		Shards: len(query.Services), MinParts: route.MinParts(), Attempts: route.Attempts(), Slice: true,
+		HedgeAfter: g.hedgeDelay(in), Due: now + query.Due, LateUntil: now + query.LateUntil, GiveUp: now + query.GiveUp,
+		RetryUntil: now + query.GiveUp,
+	}
+	return &slice{
+		query: g.queryOf(in, plan), id: query.Name(), set: g.slices, stop: make(chan bool, 1), granted: make(chan struct{}, 1), ready: make(chan struct{}, 1),
+		reportAt: min(now+plan.HedgeAfter, plan.Due),
+	}
+}
+
+// run asks the leafs until all parts are there, nothing more can come, or the slice is dropped.
+func (s *slice) run() {
+	q := s.query
+	cut := false
+	defer func() {
+		q.abandonAll(cut)
+		time.AfterFunc(collectTime, func() { s.set.remove(s.id) })
+	}()
+	q.gate.fleet.countSlice(q.shards)
+	placed, _ := q.placeAll(nil)
+	q.sendAll(placed)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := q.gate.config.Now()
+		if q.course.Verdict(now) != gatherer.Continue {
+			s.report(now, true)
+			return
+		}
+		q.hedge(now)
+		if now >= s.reportAt || !s.reported && q.course.NeedsGrant() {
+			s.report(now, false)
+		}
+		timer.Reset(min(q.course.Wake(now), max(s.reportAt, now)) - now)
+		select {
+		case end := <-q.ends:
+			s.onEnd(end)
+			s.drainEnds()
+		case <-s.granted:
+			for _, shard := range q.course.OnGrant() {
+				q.ask(shard, needAny)
+			}
+		case <-timer.C:
+		case cut = <-s.stop:
+			return
+		}
+	}
+}
+
+func (s *slice) onEnd(end exchangeEnd) {
+	done := s.query.course.Done(end.shard)
+	s.query.onEnd(end)
+	if !done && s.query.course.Done(end.shard) {
+		s.parts = append(s.parts, end.shard)
+	}
+}
+
+func (s *slice) drainEnds() {
+	for {
+		select {
+		case end := <-s.query.ends:
+			s.onEnd(end)
+		default:
+			return
+		}
+	}
+}
+
+// report makes what came since the last report ready to be collected.
+func (s *slice) report(now time.Duration, final bool) {
+	q := s.query
+	s.mu.Lock()
+	s.next.Parts = append(s.next.Parts, s.parts...)
+	s.next.Proofs = append(s.next.Proofs, q.proofs...)
+	s.next.Records = append(s.next.Records, q.top.Bytes()...)
+	s.next.Open = s.openShards()
+	s.next.Extra, s.next.OverBudget, s.next.Final = q.extra, q.overBudget, final
+	s.mu.Unlock()
+	s.parts, q.proofs, q.top = nil, nil, gatherer.NewTop(q.in.route.TopRecords())
+	s.reported = true
+	s.reportAt = max(q.plan.Due, now+reportPause)
+	if now < q.plan.Due {
+		s.reportAt = q.plan.Due
+	}
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (s *slice) openShards() []aggregator.OpenShard {
+	q := s.query
+	var open []aggregator.OpenShard
+	for shard := range q.shards {
+		if !q.course.Done(shard) {
+			open = append(open, aggregator.OpenShard{
+				Shard: shard, Leafs: q.asked(shard), Lost: q.course.Lost(shard) && !q.course.NeedsGrant(),
+			})
+		}
+	}
+	return open
+}
+
+// collect waits for the next report and takes it.
+func (s *slice) collect(g *Gatekeeper) aggregator.Report {
+	timer := time.NewTimer(time.Until(s.query.in.deadline) + collectTime)
+	defer timer.Stop()
+	select {
+	case <-s.ready:
+	case <-timer.C:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := s.next
+	s.next = aggregator.Report{}
+	report.Leaving = g.draining.Load()
+	if report.Final {
+		s.set.remove(s.id)
+	}
+	return report
+}
+
+func (s *slice) grant() {
+	select {
+	case s.granted <- struct{}{}:
+	default:
+	}
+}
+
+func (s *slice) end(cut bool) {
+	select {
+	case s.stop <- cut:
+	default:
+	}
+}
+
+func (s *sliceSet) add(added *slice) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.running) >= maxSlices || s.running[added.id] != nil {
+		return false
+	}
+	s.running[added.id] = added
+	return true
+}
+
+func (s *sliceSet) find(id aggregator.SliceID) *slice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running[id]
+}
+
+func (s *sliceSet) remove(id aggregator.SliceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, id)
+}
--- a/pkg/gatherer/course.go
+++ b/pkg/gatherer/course.go
@@ -35,6 +35,10 @@
 		Attempts int
 		// Once forbids a second request of a shard while the first one runs.
 		Once bool
+		// Slice tells that the shards are a part of a query that another instance answers. The course ends only when nothing more
+		// can come, and asks one leaf of each shard until the other instance grants the other attempts: it may have taken the
+		// shards back, and asks their leafs itself.
+		Slice bool
 		// HedgeAfter is how long a shard may be silent before it is asked again.
 		HedgeAfter time.Duration
 		// Due is when an answer must leave to be in time.
@@ -53,6 +57,8 @@
 		shards []shard
 		parts  int
 		open   int
+		// allowed is how many leafs of a shard may run the request at present.
+		allowed int
 		// expectLate tells that too few parts are expected before the due time.
 		expectLate bool
 	}
@@ -62,6 +68,8 @@
 		asked    int
 		running  int
 		lastSent time.Duration
+		// handed tells that another instance asks the leafs.
+		handed bool
 		// deniedUntil is when an attempt may be tried again, after no leaf could take it.
 		deniedUntil time.Duration
 		// paused tells that nothing runs for the shard and no leaf could take it; pause is how long it waits then.
@@ -85,7 +93,41 @@
 
 // New returns a course of which nothing was asked yet.
 func New(plan Plan) *Course {
-	return &Course{plan: plan, shards: make([]shard, plan.Shards), open: plan.Shards}
+	allowed := plan.Attempts
+	if plan.Slice {
+		allowed = min(1, allowed)
+	}
+	return &Course{plan: plan, shards: make([]shard, plan.Shards), open: plan.Shards, allowed: allowed}
+}
+
+// OnGrant allows all attempts of a slice, and returns the shards that need another one now.
+func (c *Course) OnGrant() []int {
+	if c.allowed >= c.plan.Attempts {
+		return nil
+	}
+	c.allowed = c.plan.Attempts
+	var again []int
+	for index := range c.shards {
+		s := &c.shards[index]
+		if s.lost && !s.done && s.running == 0 && s.asked < c.allowed {
+			s.lost = false
+			again = append(again, index)
+		}
+	}
+	return again
+}
+
+// NeedsGrant tells whether a shard waits for another attempt to be allowed.
+func (c *Course) NeedsGrant() bool {
+	if c.allowed >= c.plan.Attempts {
+		return false
+	}
+	for index := range c.shards {
+		if s := &c.shards[index]; s.lost && !s.done && s.running == 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // OnSent notes that a shard was asked.
@@ -96,6 +138,20 @@
 	s.lastSent = now
 }
 
+// OnHandedOver notes that another instance asks the leafs of a shard, and reports until the given time.
+func (c *Course) OnHandedOver(index int, now, until time.Duration) {
+	c.OnSent(index, now)
+	c.shards[index].handed = true
+	c.shards[index].deniedUntil = until
+}
+
+// OnGranted notes that the other instance may use all attempts of a shard, and reports again until the given time.
+func (c *Course) OnGranted(index int, until time.Duration) {
+	s := &c.shards[index]
+	s.asked = c.plan.Attempts
+	s.deniedUntil = until
+}
+
 // OnPart notes a part and tells whether it counts: the first of its shard does.
 func (c *Course) OnPart(index int) bool {
 	s := &c.shards[index]
@@ -114,13 +170,14 @@
 func (c *Course) OnFailure(index int, ran bool) bool {
 	s := &c.shards[index]
 	s.running--
+	s.handed = false
 	if !ran {
 		s.asked--
 	}
 	if s.done || s.running > 0 {
 		return false
 	}
-	s.lost = s.asked >= c.plan.Attempts
+	s.lost = s.asked >= c.allowed
 	return !s.lost
 }
 
@@ -158,6 +215,9 @@
 	return now >= c.plan.Due && !c.enough()
 }
 
+// Lost tells whether no further attempt of a shard is possible.
+func (c *Course) Lost(index int) bool { return c.shards[index].lost }
+
 // Done tells whether the part of a shard is there.
 func (c *Course) Done(index int) bool { return c.shards[index].done }
 
@@ -183,22 +243,26 @@
 // Parts returns how many parts are there.
 func (c *Course) Parts() int { return c.parts }
 
-// Late returns the shards that should be asked again now: none where so many are late that the cause is load, which second
-// requests would add to.
+// Late returns the shards that should be asked again now. Those that this instance asked are left out where so many are late
+// that the cause is load, which second requests would add to.
 func (c *Course) Late(now time.Duration) []int {
-	var late []int
+	var late, handed []int
 	for index := range c.shards {
-		if s := &c.shards[index]; c.mayHedge(s) && now >= c.hedgeAt(s) {
+		switch s := &c.shards[index]; {
+		case !c.mayHedge(s) || now < c.hedgeAt(s):
+		case s.handed:
+			handed = append(handed, index)
+		default:
 			late = append(late, index)
 		}
 	}
 	if len(late) <= 1 || float64(len(late)) <= crowdShare*float64(c.plan.Shards) {
-		return late
+		return append(handed, late...)
 	}
 	for _, index := range late {
 		c.shards[index].deniedUntil = now + deniedPause
 	}
-	return nil
+	return handed
 }
 
 // Verdict says whether the query ends now.
@@ -210,6 +274,8 @@
 		return c.end(Exhausted)
 	case now >= c.plan.GiveUp:
 		return c.end(TimedOut)
+	case c.plan.Slice:
+		return Continue
 	case now >= c.plan.LateUntil && c.enough():
 		return Partial
 	case now >= c.plan.Due && now < c.plan.LateUntil && c.enough() && c.wasEnoughAtDue(now):
@@ -266,11 +332,14 @@
 			paused++
 		}
 	}
+	if c.plan.Slice {
+		return lost == c.open && !c.NeedsGrant()
+	}
 	return lost == c.open || lost > c.plan.Shards-c.plan.MinParts || c.enough() && lost+paused == c.open
 }
 
 func (c *Course) mayHedge(s *shard) bool {
-	return !c.plan.Once && !s.done && !s.lost && s.running > 0 && s.asked < c.plan.Attempts
+	return !c.plan.Once && !s.done && !s.lost && s.running > 0 && s.asked < c.allowed
 }
 
 func (c *Course) hedgeAt(s *shard) time.Duration {
--- a/pkg/linker/line.go
+++ b/pkg/linker/line.go
@@ -55,6 +55,13 @@
 	return client, nil
 }
 
+// Open returns the open connection, or nil; it never waits.
+func (l *Line) Open() *rpc.Client {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.client
+}
+
 // Call makes one call and waits at most timeout for its end. A call on a connection that the peer had closed before was
 // not sent, and goes out on a new one.
 func (l *Line) Call(method string, query, reply any, timeout time.Duration) error {
--- a/pkg/placer/choice.go
+++ b/pkg/placer/choice.go
@@ -11,12 +11,13 @@
 
 const (
 	// faultWeight turns a share of faults into lost time: a failed request costs its own time, that of another one, and one of
-	// few attempts.
-	faultWeight = 6.0
+	// few attempts; it outweighs distance and a missing connection for some seconds.
+	faultWeight = 8.0
 	// onceFaultWeight is that of a request that must not run twice: its failure is the caller's.
 	onceFaultWeight = 40.0
-	// distantWeight prefers a leaf of the own data centre where the others are no better.
-	distantWeight = 0.15
+	// distantWeight prefers a leaf of the own data centre that is expected to answer within twice the usual time: bytes between
+	// data centres are paid for, and a leaf that pauses is hedged.
+	distantWeight = 1.0
 	// foreignCost is what a request to a leaf without a kept connection costs: it opens one in about 10 ms, of 28 usual.
 	foreignCost = 0.4
 	// stalledCost, awayCost and coldCost, in typical times, put such leafs behind all sound ones, in this order.
--- a/pkg/placer/choice_test.go
+++ b/pkg/placer/choice_test.go
@@ -98,3 +98,30 @@
 		})
 	}
 }
+
+// Bytes between data centres are paid for: an own leaf that is a little slower, or has a request, is asked all the same.
+func TestOwnDataCentreIsPreferredWhileInTime(t *testing.T) {
+	cases := []struct {
+		name     string
+		slowness float64
+		running  int
+		want     string
+	}{
+		{"as fast", 1, 0, "own"},
+		{"a little slower", 1.6, 0, "own"},
+		{"one request ahead", 1, 1, "own"},
+		{"much slower", 4, 0, "distant"},
+		{"full", 1, 6, "distant"},
+	}
+	for _, c := range cases {
+		now := time.Minute
+		own, distant := New(Fields{ID: "own", DataCentre: "a", Slots: 2}, 0, 0), New(Fields{ID: "distant", DataCentre: "b", Slots: 2}, 0, 0)
+		own.slowness, own.slowAt = c.slowness, now
+		for id := range c.running {
+			own.OnSend(uint64(id), usual, now)
+		}
+		if got := Choose([]*Leaf{distant, own}, Wish{Now: now, DataCentre: "a"}).Fields().ID; got != c.want {
+			t.Errorf("%s: the %s leaf, want the %s one", c.name, got, c.want)
+		}
+	}
+}
--- a/pkg/router/route.go
+++ b/pkg/router/route.go
@@ -5,7 +5,13 @@
 
 package router
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// coverageSlack absorbs the rounding of a share that is given in decimals.
+const coverageSlack = 1e-9
 
 type (
 	// RouteFields are the fields of a route.
@@ -66,6 +72,16 @@
 	}
 )
 
+// NewRoute returns a route with fields that were checked.
+func NewRoute(fields RouteFields) *Route {
+	route := &Route{fields: fields}
+	for _, share := range fields.Split {
+		route.total += share.Weight
+	}
+	route.minParts = max(1, int(math.Ceil(fields.MinCoverage*float64(len(fields.Shards))-coverageSlack)))
+	return route
+}
+
 // Fields returns the fields of the route; its slices are shared.
 func (r *Route) Fields() RouteFields { return r.fields }
 
--- a/pkg/router/table.go
+++ b/pkg/router/table.go
@@ -5,15 +5,11 @@
 
 import (
 	"fmt"
-	"math"
 	"strings"
 
 	"github.com/pkg/errors"
 )
 
-// coverageSlack absorbs the rounding of a share that is given in decimals.
-const coverageSlack = 1e-9
-
 type (
 	// Table is one version of the routes and services.
 	Table struct {
@@ -84,6 +80,23 @@
 	return names
 }
 
+// ShardServices returns each service that holds a shard of some route, once.
+func (t *Table) ShardServices() []string {
+	seen := map[string]bool{}
+	var names []string
+	for _, prefixes := range t.routes {
+		for _, route := range prefixes {
+			for _, name := range route.fields.Shards {
+				if !seen[name] {
+					seen[name] = true
+					names = append(names, name)
+				}
+			}
+		}
+	}
+	return names
+}
+
 // Service returns the fields of a service.
 func (t *Table) Service(name string) (ServiceFields, bool) {
 	service, ok := t.services[name]
@@ -120,11 +133,7 @@
 	if _, taken := t.routes[host][fields.Prefix]; taken {
 		return fmt.Sprintf("host %q and prefix %q are taken by another route", fields.Host, fields.Prefix)
 	}
-	route := &Route{fields: fields}
-	for _, share := range fields.Split {
-		route.total += share.Weight
-	}
-	route.minParts = max(1, int(math.Ceil(fields.MinCoverage*float64(len(fields.Shards))-coverageSlack)))
+	route := NewRoute(fields)
 	t.routes[host][fields.Prefix] = route
 	return ""
 }
--- a/pkg/steward/entry.go
+++ b/pkg/steward/entry.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"lovagedeck/pkg/aggregator"
 	"lovagedeck/pkg/controller"
 	"lovagedeck/pkg/gatekeeper"
 	"lovagedeck/pkg/gossiper"
@@ -42,6 +43,8 @@
 		log      logr.Logger
 		gate     *gatekeeper.Gatekeeper
 		gossip   *gossiper.Gossiper
+		peers    *aggregator.Peers
+		links    *linker.Server
 		client   *controller.Client
 		list     List
 		began    time.Time
@@ -61,6 +64,7 @@
 	}); err != nil {
 		return nil, err
 	}
+	e.peers = aggregator.NewPeers(linker.New(secret), e.now, log)
 	e.gate = gatekeeper.New(gatekeeper.Config{
 		Headers: headers, Instance: settings.Instance, DataCentre: settings.DataCentre, Travel: callerTravel, HeldBytes: settings.heldBytes(),
 		Budget: hedger.SharedBound{Ratio: settings.RetryRatio, Slack: settings.RetrySlack, Window: settings.RetryWindow},
@@ -68,6 +72,7 @@
 			return decodePacked(decode, version, packed)
 		},
 		Dial: dial, Now: e.now, Random: rand.New(rand.NewPCG(seed, 1)), Log: log, Tell: e.gossip.Tell,
+		Peers: e.peers,
 	})
 	e.client = controller.NewClient(controller.ClientConfig{
 		Member: tabulator.MemberFields{
@@ -83,7 +88,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
+	if err := e.serveInstances(secret); err != nil {
+		return nil, err
+	}
 	e.gossip.Run()
+	e.peers.Run()
 	go e.serve(listener)
 	e.client.Run()
 	go e.listLoop()
@@ -91,6 +100,16 @@
 	return e, nil
 }
 
+// serveInstances takes slices of other entry instances' queries.
+func (e *Entry) serveInstances(secret linker.Secret) error {
+	listener, err := net.Listen("tcp", e.settings.linkAddress(e.settings.Host))
+	if err != nil {
+		return errors.Wrap(err, "listen for other instances")
+	}
+	e.links, err = linker.New(secret).Serve(listener, map[string]any{"Aggregator": aggregator.NewService(e.gate)})
+	return err
+}
+
 // Ready tells whether new callers should come here.
 func (e *Entry) Ready() bool { return e.gate.Ready() }
 
@@ -117,6 +136,8 @@
 	close(e.stop)
 	e.client.Close()
 	e.gossip.Close()
+	e.peers.Close()
+	e.links.Close()
 }
 
 // setView takes the newest view: what callers are served by, and who else is in the data centre.
--- a/pkg/steward/steward_test.go
+++ b/pkg/steward/steward_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -101,6 +102,8 @@
 	c.t.Helper()
 	settings := c.settings[0]
 	settings.Instance, settings.Callers, settings.Grace, settings.ListRate = "entry-1", "127.0.0.1:0", time.Second, 40
+	// Both roles take calls of other instances at the link port.
+	settings.Host = strings.TrimSuffix(settings.Host, ".1") + ".200"
 	decode := func(version uint64, _ []byte) (*router.Table, error) {
 		return router.Build(version, nil, nil, router.Limits{})
 	}
