Answer what was accepted when a stop begins

Shown by a test: with the HTTP library's shutdown, 4 of 40 callers that had connected got no answer, nor did one that had sent half of its head or nothing yet. The instance now goes on accepting until no connection has a request under way or may send its first one, and only then closes the listener. The wish to leave (Connection: close) is stated when an answer begins, not when its request does, so that callers whose request was under way leave as well.

--- a/pkg/gatekeeper/answer.go
+++ b/pkg/gatekeeper/answer.go
@@ -27,6 +27,15 @@
 	}
 )
 
+// writeHead begins an answer; during a stop it asks the caller to leave. Turning keep-alives off in the server would close
+// idle connections, also one whose next request is just read.
+func (g *Gatekeeper) writeHead(w http.ResponseWriter, status int) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.WriteHeader(status)
+}
+
 // refuse answers without an upstream's answer; statuses 429 and 503 say that the request has not run.
 func (g *Gatekeeper) refuse(w http.ResponseWriter, r refusal) {
 	if r.retryAfter > 0 {
@@ -39,7 +48,7 @@
 		w.Header().Set(g.config.Headers.RequestID, r.id)
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(r.status)
+	g.writeHead(w, r.status)
 	_, _ = w.Write([]byte(r.reason + "\n"))
 }
 
@@ -78,7 +87,7 @@
 	} else if bodyAllowed(answer.StatusCode()) {
 		target.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	w.WriteHeader(answer.StatusCode())
+	g.writeHead(w, answer.StatusCode())
 	if len(body) > 0 {
 		_, _ = w.Write(body)
 	}
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -5,7 +5,6 @@
 package gatekeeper
 
 import (
-	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -77,6 +76,8 @@
 		Log    logr.Logger
 		// Tell takes what this instance saw of a leaf, for the others; nil tells nobody.
 		Tell func(spreader.Observation)
+		// Stale tells whether what other instances sent may have waited while the process was paused; nil never does.
+		Stale func() bool
 		// Peers gather shards of this instance's queries; nil lets it ask all leafs itself.
 		Peers *aggregator.Peers
 	}
@@ -88,10 +89,11 @@
 		// held counts the bodies of requests and answers.
 		held *exchanger.Meter
 		// slices are what this instance gathers for others.
-		slices   *sliceSet
-		table    atomic.Pointer[router.Table]
-		draining atomic.Bool
-		listed   atomic.Bool
+		slices      *sliceSet
+		connections *connections
+		table       atomic.Pointer[router.Table]
+		draining    atomic.Bool
+		listed      atomic.Bool
 		// started is closed once routes and leafs are known.
 		started   chan struct{}
 		startOnce sync.Once
@@ -108,13 +110,14 @@
 	}
 	g := &Gatekeeper{
 		config: config, metrics: metrics.NewSet(), started: make(chan struct{}), held: exchanger.NewMeter(config.HeldBytes, nil), slices: newSliceSet(),
+		connections: newConnections(),
 	}
 	g.counters = newCounters(g.metrics)
 	exchange := &exchanger.Config{
 		Headers: &g.config.Headers.Headers, Dial: config.Dial, MaxAnswer: maxAnswer, Meter: g.held, OnConnect: g.onConnect,
 	}
 	g.fleet = newFleet(exchange, config)
-	g.server = &http.Server{Handler: g, IdleTimeout: defaultIdle, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
+	g.server = &http.Server{Handler: g, IdleTimeout: defaultIdle, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: g.connections.onState}
 	return g
 }
 
@@ -138,11 +141,6 @@
 // Drain asks callers to leave: readiness ends and each answer closes its connection.
 func (g *Gatekeeper) Drain() { g.draining.Store(true) }
 
-// Shutdown ends the service once the requests under way are answered, or when the context ends.
-func (g *Gatekeeper) Shutdown(ctx context.Context) error {
-	return errors.Wrap(g.server.Shutdown(ctx), "shut down")
-}
-
 // SetView takes the newest view of the control instances.
 func (g *Gatekeeper) SetView(view *tabulator.View) {
 	g.fleet.setView(view)
@@ -188,10 +186,6 @@
 // ServeHTTP serves one request of a caller.
 func (g *Gatekeeper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if g.draining.Load() {
-		// Turning keep-alives off in the server would close idle connections, also one whose next request is just read.
-		w.Header().Set("Connection", "close")
-	}
 	id := r.Header.Get(g.config.Headers.RequestID)
 	table := g.table.Load()
 	if table == nil || !g.listed.Load() {
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -241,7 +241,7 @@
 	header.Set(g.config.Headers.RequestID, q.in.id)
 	header.Set("Content-Type", "application/octet-stream")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(http.StatusOK)
+	g.writeHead(w, http.StatusOK)
 	_, _ = w.Write(body)
 	g.counters.duration("scatter").Update(took.Seconds())
 	g.config.Log.Info("gatekeeper: answered", "request", q.in.id, "route", q.in.route.Name(), "version", q.in.version,
--- /dev/null
+++ b/pkg/gatekeeper/stop_test.go
@@ -0,0 +1,111 @@
+package gatekeeper
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lovagedeck/pkg/router"
+)
+
+// A planned stop meets requests at every stage of their arrival: each one that was accepted is answered.
+func TestAPlannedStopAnswersWhatWasAccepted(t *testing.T) {
+	const (
+		head  = "POST /p/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\nTime-Left-Ms: 2000\r\n"
+		whole = head + "Content-Length: 4\r\n\r\nbody"
+	)
+	cases := []struct {
+		name string
+		// sent arrives before the stop, rest just after it.
+		sent, rest string
+	}{
+		{"connected, and nothing sent", "", whole},
+		{"half of the head", head[:30], whole[30:]},
+		{"the head, and half of the body", whole[:len(whole)-2], whole[len(whole)-2:]},
+		{"half of a chunked body", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbo", "dy\r\n0\r\n\r\n"},
+		{"the whole request, at work", whole, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tier := newTier(t, "card")
+			tier.leafs[0].set(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				time.Sleep(100 * time.Millisecond)
+				_, _ = io.WriteString(w, "whole")
+			})
+			tier.route(router.RouteFields{Name: "card", Service: "card", Attempts: 1})
+			conn, err := net.Dial("tcp", tier.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, c.sent)
+			time.Sleep(30 * time.Millisecond)
+			tier.gate.Drain()
+			ended := make(chan error, 1)
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				ended <- tier.gate.Shutdown(ctx)
+			}()
+			time.Sleep(30 * time.Millisecond)
+			_, _ = io.WriteString(conn, c.rest)
+			_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			body, err := io.ReadAll(response.Body)
+			if err != nil || response.StatusCode != http.StatusOK || string(body) != "whole" || !response.Close {
+				t.Errorf("status %d, body %q, close %v, %v", response.StatusCode, body, response.Close, err)
+			}
+			if err := <-ended; err != nil {
+				t.Errorf("the stop: %v", err)
+			}
+			if runs := tier.leafs[0].runs.Load(); runs != 1 {
+				t.Errorf("the request ran %d times", runs)
+			}
+		})
+	}
+}
+
+// Connections that wait to be accepted when the stop begins are taken and answered.
+func TestAPlannedStopTakesWhatWaitsToBeAccepted(t *testing.T) {
+	const callers = 40
+	tier := newTier(t, "card")
+	tier.route(router.RouteFields{Name: "card", Service: "card", Attempts: 1})
+	answers := make(chan string, callers)
+	for range callers {
+		conn, err := net.Dial("tcp", tier.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, "GET /p/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\nTime-Left-Ms: 2000\r\n\r\n")
+		go func() {
+			defer func() { _ = conn.Close() }()
+			_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+			line, _ := bufio.NewReader(conn).ReadString('\n')
+			answers <- strings.TrimSpace(line)
+		}()
+	}
+	tier.gate.Drain()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if err := tier.gate.Shutdown(ctx); err != nil {
+		t.Errorf("the stop: %v", err)
+	}
+	lost := 0
+	for range callers {
+		if line := <-answers; line != "HTTP/1.1 200 OK" {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d callers that had connected got no answer", lost, callers)
+	}
+}
