Leave out what waited in a socket while the process was paused

After a pause of seconds an instance took datagrams that had waited as new, and would have taken slices of queries that are long over. The watcher compares its ticks with the steady clock and the time of day; observations and slices read after a gap are dropped, or refused as not run. Confirmed readings of control instances were looked at: each one is a round of its own, begun after the request.

--- a/pkg/aggregator/peers.go
+++ b/pkg/aggregator/peers.go
@@ -18,7 +18,7 @@
 
 const (
 	// look is how often peers without a connection and silent ones are looked at.
-	look = 50 * time.Millisecond
+	look = 100 * time.Millisecond
 	// pingTimeout bounds the question whether a peer is back: the way between regions and a hiccup of its processor.
 	pingTimeout = 300 * time.Millisecond
 	// opensAtOnce bounds the connections that are opened at one time.
--- a/pkg/gatekeeper/slice.go
+++ b/pkg/gatekeeper/slice.go
@@ -89,6 +89,8 @@
 	switch {
 	case !g.Ready():
 		return "the instance is not ready"
+	case g.config.Stale != nil && g.config.Stale():
+		return "the slice may have waited while the process was paused"
 	case query.GiveUp <= 0 || query.CallerLeft <= 0:
 		return "the time is over"
 	case len(query.Services) == 0 || query.Request == "":
--- a/pkg/gatekeeper/slice_test.go
+++ b/pkg/gatekeeper/slice_test.go
@@ -340,6 +340,11 @@
 			t.Errorf("%s: taken", c.name)
 		}
 	}
+	g.gate.config.Stale = func() bool { return true }
+	if report := g.gate.GatherSlice(good); report.NotRun == "" {
+		t.Error("a slice that waited while the process was paused: taken")
+	}
+	g.gate.config.Stale = nil
 	negative := good
 	negative.Records, negative.Attempts, negative.MinParts = -5, -1, -7
 	if report := g.gate.GatherSlice(negative); len(report.Records) != 0 {
--- a/pkg/gossiper/gossiper.go
+++ b/pkg/gossiper/gossiper.go
@@ -34,6 +34,8 @@
 		Now    func() time.Duration
 		Random *rand.Rand
 		Log    logr.Logger
+		// Stale tells whether what is read now may have waited while the process was paused; nil never does.
+		Stale func() bool
 		// OnObservations takes news of other instances.
 		OnObservations func(observations []spreader.Observation)
 	}
@@ -181,6 +183,10 @@
 }
 
 func (g *Gossiper) receive(datagram []byte) {
+	if g.config.Stale != nil && g.config.Stale() {
+		g.config.Log.V(1).Info("gossiper: dropped a datagram that waited during a pause")
+		return
+	}
 	data, ok := g.config.Secret.Open(datagram)
 	if !ok {
 		g.config.Log.V(1).Info("gossiper: dropped a datagram of another cluster")
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -88,3 +88,24 @@
 		t.Fatal("the sound datagram was dropped")
 	}
 }
+
+// An instance was stopped for seconds: what waited in its socket is as old as the pause, whatever age it states.
+func TestDatagramsThatWaitedDuringAPauseAreDropped(t *testing.T) {
+	secret := linker.NewSecret("test", []byte("key"))
+	g, news := newGossiper(t, secret)
+	data, err := encode([]spreader.Observation{{Leaf: "i-1", Slow: true}}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stale := true
+	g.config.Stale = func() bool { return stale }
+	g.receive(secret.Seal(data))
+	if len(news) != 0 {
+		t.Error("a datagram that waited was believed")
+	}
+	stale = false
+	g.receive(secret.Seal(data))
+	if len(news) != 1 {
+		t.Error("a new datagram was not believed")
+	}
+}
--- a/pkg/steward/entry.go
+++ b/pkg/steward/entry.go
@@ -23,6 +23,7 @@
 	"lovagedeck/pkg/spreader"
 	"lovagedeck/pkg/tabulator"
 	"lovagedeck/pkg/timeliner"
+	"lovagedeck/pkg/watcher"
 )
 
 const (
@@ -48,18 +49,19 @@
 		client   *controller.Client
 		list     List
 		began    time.Time
+		watcher  *watcher.Watcher
 		stop     chan struct{}
 	}
 )
 
 // NewEntry starts an entry instance; Shutdown ends it.
 func NewEntry(settings Settings, headers gatekeeper.Headers, decode Decode, list List, log logr.Logger) (*Entry, error) {
-	e := &Entry{settings: settings, log: log, list: list, began: time.Now(), stop: make(chan struct{})}
+	e := &Entry{settings: settings, log: log, list: list, began: time.Now(), watcher: watcher.New(0, time.Now().Round(0)), stop: make(chan struct{})}
 	seed := uint64(time.Now().UnixNano())
 	secret := linker.NewSecret(settings.Cluster, nil)
 	var err error
 	if e.gossip, err = gossiper.New(gossiper.Config{
-		Listen: settings.linkAddress(settings.Host), Secret: secret, Now: e.now, Random: rand.New(rand.NewPCG(seed, 3)), Log: log,
+		Listen: settings.linkAddress(settings.Host), Secret: secret, Now: e.now, Random: rand.New(rand.NewPCG(seed, 3)), Log: log, Stale: e.stale,
 		OnObservations: func(observations []spreader.Observation) { e.gate.TakeObservations(observations) },
 	}); err != nil {
 		return nil, err
@@ -72,7 +74,7 @@
 			return decodePacked(decode, version, packed)
 		},
 		Dial: dial, Now: e.now, Random: rand.New(rand.NewPCG(seed, 1)), Log: log, Tell: e.gossip.Tell,
-		Peers: e.peers,
+		Peers: e.peers, Stale: e.stale,
 	})
 	e.client = controller.NewClient(controller.ClientConfig{
 		Member: tabulator.MemberFields{
@@ -96,6 +98,7 @@
 	go e.serve(listener)
 	e.client.Run()
 	go e.listLoop()
+	go e.watch()
 	log.Info("steward: entry instance started", "data-centre", settings.DataCentre, "callers", settings.Callers)
 	return e, nil
 }
@@ -198,6 +201,25 @@
 	}
 }
 
+// watch notices that the process was paused.
+func (e *Entry) watch() {
+	ticker := time.NewTicker(watcher.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.stop:
+			return
+		case <-ticker.C:
+		}
+		// Round strips the steady clock, so that the times of day are compared.
+		if paused := e.watcher.OnTick(e.now(), time.Now().Round(0)); paused > 0 {
+			e.log.Info("steward: the process was paused", "for-ms", paused.Milliseconds())
+		}
+	}
+}
+
+func (e *Entry) stale() bool { return e.watcher.Stale(e.now(), time.Now().Round(0)) }
+
 func (e *Entry) now() time.Duration { return time.Since(e.began) }
 
 func decodePacked(decode Decode, version uint64, packed []byte) (*router.Table, error) {
