Keep one malformed message from ending a process

Found by fuzzing: a gossip datagram of five bytes that claims a list of four thousand million observations ended the process (FuzzDatagram, seed corpus). Observations are now read one by one, at most as many as a datagram holds. A route that asks for any number of records or attempts no longer makes room for them ahead.

The line of a failed query names its missing shards with the leafs that were asked and what they did, and the sentence of lovagedeck explain the cause that most of them share (TestLogsNameTheCause).

--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -133,7 +133,13 @@
 	return !c.answered && errors.Is(err, syscall.ECONNRESET) && time.Since(ticket.sent) < refusalTime
 }
 
-func (c *conn) readAnswers() error {
+// readAnswers reads until the connection ends or may not be used again. A fault of the parser costs this connection only.
+func (c *conn) readAnswers() (err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			err = errors.Errorf("read the answer: %v", fault)
+		}
+	}()
 	for {
 		if _, err := c.reader.Peek(1); err != nil {
 			return errors.Wrap(err, "read the answer")
--- a/pkg/explainer/explainer.go
+++ b/pkg/explainer/explainer.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -132,20 +133,60 @@
 }
 
 func (c *Course) answered(end Step) string {
-	missing, _ := end.fields["missing"].([]any)
+	missing := end.list("missing")
 	text := fmt.Sprintf("answered after %v ms with %v parts", end.fields["took-ms"], end.fields["parts"])
 	if len(missing) == 0 {
 		return text + c.because()
 	}
-	names := make([]string, 0, len(missing))
-	for _, name := range missing {
-		names = append(names, fmt.Sprint(name))
-	}
-	return text + fmt.Sprintf("; left out, with the leafs that were asked: %s", strings.Join(names, ", ")) + c.because()
+	return text + fmt.Sprintf("; left out, with the leafs that were asked: %s", strings.Join(missing, ", ")) + c.because()
 }
 
 func (c *Course) refused(end Step) string {
-	return fmt.Sprintf("ended with %v after %v ms: %s", end.fields["status"], end.fields["took-ms"], end.text("reason")) + c.because()
+	text := fmt.Sprintf("ended with %v after %v ms: %s", end.fields["status"], end.fields["took-ms"], end.text("reason"))
+	if missing := end.list("missing"); len(missing) > 0 {
+		return text + shared(missing)
+	}
+	return text + c.because()
+}
+
+// shared names the cause that most of the missing shards share, with its leafs. A missing shard is written as
+// "s2(i-1:silent, front-b-3: i-2:silent)", where another instance asked the second leaf.
+func shared(missing []string) string {
+	leafs, cause := map[string][]string{}, ""
+	for _, shard := range missing {
+		_, asked, _ := strings.Cut(strings.TrimSuffix(shard, ")"), "(")
+		for _, one := range strings.Split(asked, ", ") {
+			at := strings.LastIndexByte(one, ':')
+			if at < 0 {
+				leafs[one] = append(leafs[one], "")
+				continue
+			}
+			leafs[one[at+1:]] = append(leafs[one[at+1:]], one[:at])
+		}
+	}
+	for did := range leafs {
+		if did != "" && (cause == "" || len(leafs[did]) > len(leafs[cause]) || len(leafs[did]) == len(leafs[cause]) && did < cause) {
+			cause = did
+		}
+	}
+	if cause == "" {
+		return ""
+	}
+	return fmt.Sprintf("; most of the missing shards share this cause: %s: %s", cause, strings.Join(nonEmpty(leafs[cause]), ", "))
+}
+
+func nonEmpty(names []string) []string {
+	return slices.DeleteFunc(names, func(name string) bool { return name == "" })
+}
+
+// list returns the words of a field that holds several.
+func (s Step) list(key string) []string {
+	values, _ := s.fields[key].([]any)
+	words := make([]string, 0, len(values))
+	for _, value := range values {
+		words = append(words, fmt.Sprint(value))
+	}
+	return words
 }
 
 // because names the attempts that brought nothing, by outcome.
--- a/pkg/gatekeeper/answer.go
+++ b/pkg/gatekeeper/answer.go
@@ -18,9 +18,11 @@
 		status     int
 		retryAfter time.Duration
 		reason     string
-		route      string
-		version    uint64
-		took       time.Duration
+		// missing names the shards that a query lacked.
+		missing []string
+		route   string
+		version uint64
+		took    time.Duration
 		// patience is how long the caller would have waited, by its own word.
 		patience time.Duration
 		asked    int
@@ -43,7 +45,7 @@
 	}
 	g.counters.refused(r.reason).Inc()
 	g.config.Log.Info("gatekeeper: refused", "request", r.id, "status", r.status, "reason", r.reason, "route", r.route,
-		"version", r.version, "took-ms", r.took.Milliseconds(), "patience-ms", r.patience.Milliseconds(), "asked", r.asked, "retry-after", r.retryAfter.Seconds())
+		"version", r.version, "took-ms", r.took.Milliseconds(), "patience-ms", r.patience.Milliseconds(), "asked", r.asked, "missing", r.missing, "retry-after", r.retryAfter.Seconds())
 	if r.id != "" {
 		w.Header().Set(g.config.Headers.RequestID, r.id)
 	}
--- a/pkg/gatekeeper/explain_test.go
+++ b/pkg/gatekeeper/explain_test.go
@@ -42,10 +42,10 @@
 		{"leaf silent", &card, []string{"card"}, all(hang), nil, []string{"ended with 504", "no answer in time", "silent: card-0"}},
 		{"leaf not reached", &safe, []string{"card"}, nil, []int{0}, []string{"ended with 503", "could not be reached", "not reached: card-0"}},
 		{"no leaf", &card, []string{"card"}, nil, []int{-1}, []string{"ended with 503", "no leaf of the service is known"}},
-		{"shard fails", &sweep, sweep.Shards, map[int]http.HandlerFunc{2: status(500)}, nil, []string{"3 parts", "left out", "s3(s3-2)", "failed: s3-2"}},
-		{"shard silent", &sweep, sweep.Shards, map[int]http.HandlerFunc{1: hang}, nil, []string{"3 parts", "left out", "s2(s2-1)"}},
-		{"shards fail", &sweep, sweep.Shards, all(status(500)), nil, []string{"ended with 502", "too few shards answered, and no more can", "failed"}},
-		{"shards silent", &sweep, sweep.Shards, all(hang), nil, []string{"ended with 504", "too few shards answered in time"}},
+		{"shard fails", &sweep, sweep.Shards, map[int]http.HandlerFunc{2: status(500)}, nil, []string{"3 parts", "left out", "s3(s3-2:failed)", "failed: s3-2"}},
+		{"shard silent", &sweep, sweep.Shards, map[int]http.HandlerFunc{1: hang}, nil, []string{"3 parts", "left out", "s2(s2-1:silent)"}},
+		{"shards fail", &sweep, sweep.Shards, all(status(500)), nil, []string{"ended with 502", "too few shards answered, and no more can", "share this cause: failed", "s1-0", "s4-3"}},
+		{"shards silent", &sweep, sweep.Shards, all(hang), nil, []string{"ended with 504", "too few shards answered in time", "share this cause: silent", "s1-0", "s4-3"}},
 		{"no route", &card, []string{"card"}, nil, []int{-2}, []string{"ended with 404", "no route"}},
 	}
 	for _, c := range cases {
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -4,6 +4,7 @@
 package gatekeeper
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -39,6 +40,8 @@
 		// arrived tells which shards had a request that reached a leaf: another one counts as repeated.
 		arrived  []bool
 		attempts []*attempt
+		// outcomes is how the leafs that brought no part ended the request.
+		outcomes map[*placer.Leaf]placer.Outcome
 		ends     chan exchangeEnd
 		// slices are the shards that other instances gather, by shard; nil where this one asks the leafs.
 		slices  []*handedSlice
@@ -171,6 +174,10 @@
 		}
 		return
 	}
+	if q.outcomes == nil {
+		q.outcomes = map[*placer.Leaf]placer.Outcome{}
+	}
+	q.outcomes[end.attempt.upstream.leaf] = outcome
 	ran := end.result.Sent && outcome != placer.Full && outcome != placer.Replaced
 	q.arrived[end.shard] = q.arrived[end.shard] || end.result.Sent
 	if ran {
@@ -260,19 +267,30 @@
 
 func (q *query) fail(w http.ResponseWriter, status int, reason string, took time.Duration) {
 	q.gate.refuse(w, refusal{
-		id: q.in.id, status: status, reason: reason, route: q.in.route.Name(), version: q.in.version, took: took,
+		id: q.in.id, status: status, reason: reason, missing: q.missing(), route: q.in.route.Name(), version: q.in.version, took: took,
 		asked: len(q.shards) + q.extra, patience: q.in.deadline.Sub(q.in.arrived),
 	})
 }
 
-// missing names the shards that are not in the answer, with the leafs that were asked.
+// namedMissing bounds the missing shards that a log line names.
+const namedMissing = 24
+
+// missing names the shards that are not in the answer, with the leafs that were asked and what they did.
 func (q *query) missing() []string {
 	var missing []string
+	left := 0
 	for shard, name := range q.shards {
-		if !q.course.Done(shard) {
+		switch {
+		case q.course.Done(shard):
+		case len(missing) < namedMissing:
 			missing = append(missing, name+"("+q.asked(shard)+")")
+		default:
+			left++
 		}
 	}
+	if left > 0 {
+		missing = append(missing, fmt.Sprintf("and %d more", left))
+	}
 	return missing
 }
 
@@ -283,7 +301,26 @@
 		asked = append(asked, s.call.Instance()+": "+s.open[shard])
 	}
 	for _, leaf := range q.tried[shard] {
-		asked = append(asked, leaf.Fields().ID)
+		asked = append(asked, leaf.Fields().ID+":"+q.did(shard, leaf))
+	}
+	if len(asked) == 0 {
+		return "no leaf"
+	}
+	return strings.Join(asked, ", ")
+}
+
+// did says what a leaf that was asked for a shard did, as far as is known.
+func (q *query) did(shard int, leaf *placer.Leaf) string {
+	for _, a := range q.attempts {
+		if a.shard == shard && a.upstream.leaf == leaf {
+			if a.ticket == nil || !a.ticket.Sent() {
+				return "waits for a connection"
+			}
+			return "silent"
+		}
+	}
+	if outcome, ok := q.outcomes[leaf]; ok {
+		return outcome.String()
 	}
-	return strings.Join(asked, " ")
+	return "given up"
 }
--- a/pkg/gatekeeper/slice.go
+++ b/pkg/gatekeeper/slice.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lovagedeck/pkg/aggregator"
 	"lovagedeck/pkg/exchanger"
 	"lovagedeck/pkg/gatherer"
@@ -127,6 +129,10 @@
 	q := s.query
 	cut := false
 	defer func() {
+		if fault := recover(); fault != nil {
+			q.gate.config.Log.Error(errors.Errorf("%v", fault), "gatekeeper: a slice failed", "request", q.in.id, "from", s.id.From)
+			s.report(q.gate.config.Now(), true)
+		}
 		q.abandonAll(cut)
 		time.AfterFunc(collectTime, func() { s.set.remove(s.id) })
 	}()
--- a/pkg/gatherer/merge.go
+++ b/pkg/gatherer/merge.go
@@ -8,8 +8,12 @@
 	"slices"
 )
 
-// RecordBytes is the length of one record.
-const RecordBytes = 16
+const (
+	// RecordBytes is the length of one record.
+	RecordBytes = 16
+	// firstRecords bounds the room that is made before any record came: a route may ask for any number.
+	firstRecords = 256
+)
 
 type (
 	// Top keeps the greatest records that were added.
@@ -25,7 +29,7 @@
 
 // NewTop returns a collection of at most limit records.
 func NewTop(limit int) *Top {
-	return &Top{limit: limit, records: make([]record, 0, max(0, limit))}
+	return &Top{limit: limit, records: make([]record, 0, max(0, min(limit, firstRecords)))}
 }
 
 // Add takes the records of one part.
--- a/pkg/gossiper/wire.go
+++ b/pkg/gossiper/wire.go
@@ -43,18 +43,31 @@
 	return data.Bytes(), errors.Wrap(err, "gossip: encode observations")
 }
 
+// decode reads the observations one by one: the length of a list is the sender's word, for which nothing is allocated.
 func decode(data []byte, now time.Duration) ([]spreader.Observation, error) {
-	var list []wireObservation
-	if err := msgpack.Unmarshal(data, &list); err != nil {
+	decoder := msgpack.NewDecoder(bytes.NewReader(data))
+	count, err := decoder.DecodeArrayLen()
+	if err != nil {
 		return nil, errors.Wrap(err, "gossip: decode observations")
 	}
-	observations := make([]spreader.Observation, 0, len(list))
-	for _, w := range list {
-		observations = append(observations, spreader.Observation{
+	if count > maxObservations {
+		return nil, errors.Errorf("gossip: decode observations: %d in one datagram, more than %d", count, maxObservations)
+	}
+	observations := make([]spreader.Observation, 0, max(0, count))
+	for range count {
+		var w wireObservation
+		if err := decoder.Decode(&w); err != nil {
+			return nil, errors.Wrap(err, "gossip: decode an observation")
+		}
+		observation := spreader.Observation{
 			Leaf: w.Leaf, Slowness: float64(w.Slowness), Faults: float64(w.Faults), Slow: w.Slow,
 			SlowFor: time.Duration(w.SlowMs) * time.Millisecond, SeenAt: now - time.Duration(w.AgeMs)*time.Millisecond,
 			Gone: w.Gone,
-		})
+		}
+		if !(observation.Slowness >= 0) || !(observation.Faults >= 0 && observation.Faults <= 1) {
+			return nil, errors.Errorf("gossip: decode observations: slowness %g and faults %g", observation.Slowness, observation.Faults)
+		}
+		observations = append(observations, observation)
 	}
 	return observations, nil
 }
--- a/pkg/router/route.go
+++ b/pkg/router/route.go
@@ -10,8 +10,12 @@
 	"time"
 )
 
-// coverageSlack absorbs the rounding of a share that is given in decimals.
-const coverageSlack = 1e-9
+const (
+	// coverageSlack absorbs the rounding of a share that is given in decimals.
+	coverageSlack = 1e-9
+	// mostAttempts bounds the leafs that one request is sent to, whatever its route allows; a service has fewer.
+	mostAttempts = 16
+)
 
 type (
 	// RouteFields are the fields of a route.
@@ -100,8 +104,8 @@
 // Priority returns the rank of the route, 0 being the most urgent.
 func (r *Route) Priority() int { return r.fields.Priority }
 
-// Attempts returns how many leafs one request may be sent to, for each shard; it is at least 1.
-func (r *Route) Attempts() int { return max(1, r.fields.Attempts) }
+// Attempts returns how many leafs one request may be sent to, for each shard; it is from 1 to 16.
+func (r *Route) Attempts() int { return max(1, min(r.fields.Attempts, mostAttempts)) }
 
 // Scatters tells whether the request goes to a set of shards.
 func (r *Route) Scatters() bool { return len(r.fields.Shards) > 0 }
