End slices that nobody waits for

An instance that took a slice back, or is gone, left its gatherer at work until the caller's time was over: net/rpc does not tell that a connection closed. A slice now ends, with the work at its leafs, when nobody has waited for its reports for 300 ms (TestASliceThatNobodyWaitsForEnds).

--- a/pkg/gatekeeper/slice.go
+++ b/pkg/gatekeeper/slice.go
@@ -23,6 +23,9 @@
 	maxSlices = 2048
 	// collectTime is how long the last report of a slice is kept for the instance that asked.
 	collectTime = time.Second
+	// abandonTime is how long nobody may wait for a report: the instance that asked asks on within the way there and back, unless
+	// it is gone or has taken the slice back.
+	abandonTime = 300 * time.Millisecond
 )
 
 type (
@@ -48,6 +51,9 @@
 		// reportAt is when the next report is due, unless parts come before.
 		reportAt time.Duration
 		reported bool
+		// waiting counts who waits for a report, and leftAt is when the last one got it.
+		waiting int
+		leftAt  time.Duration
 		// parts are the shards whose parts are in no report yet.
 		parts []int
 	}
@@ -120,7 +126,7 @@
 	}
 	return &slice{
 		query: g.queryOf(in, plan), id: query.Name(), set: g.slices, stop: make(chan bool, 1), granted: make(chan struct{}, 1), ready: make(chan struct{}, 1),
-		reportAt: min(now+plan.HedgeAfter, plan.Due),
+		reportAt: min(now+plan.HedgeAfter, plan.Due), leftAt: now,
 	}
 }
 
@@ -147,6 +153,11 @@
 			s.report(now, true)
 			return
 		}
+		if s.isAbandoned(now) {
+			q.gate.config.Log.Info("gatekeeper: slice ended, nobody waits for it", "request", q.in.id, "from", s.id.From)
+			cut = true
+			return
+		}
 		q.hedge(now)
 		if now >= s.reportAt || !s.reported && q.course.NeedsGrant() {
 			s.report(now, false)
@@ -225,12 +236,17 @@
 func (s *slice) collect(g *Gatekeeper) aggregator.Report {
 	timer := time.NewTimer(time.Until(s.query.in.deadline) + collectTime)
 	defer timer.Stop()
+	s.mu.Lock()
+	s.waiting++
+	s.mu.Unlock()
 	select {
 	case <-s.ready:
 	case <-timer.C:
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.waiting--
+	s.leftAt = g.config.Now()
 	report := s.next
 	s.next = aggregator.Report{}
 	report.Leaving = g.draining.Load()
@@ -240,6 +256,13 @@
 	return report
 }
 
+// isAbandoned tells whether the instance that asked for the slice no longer waits for it.
+func (s *slice) isAbandoned(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waiting == 0 && now-s.leftAt > abandonTime
+}
+
 func (s *slice) grant() {
 	select {
 	case s.granted <- struct{}{}:
--- a/pkg/gatekeeper/slice_test.go
+++ b/pkg/gatekeeper/slice_test.go
@@ -316,6 +316,33 @@
 	}
 }
 
+// The instance that asked for a slice is gone without a word: the work for it ends at the leafs.
+func TestASliceThatNobodyWaitsForEnds(t *testing.T) {
+	g := newGatherers(t, "s00")
+	for _, leaf := range g.leafs {
+		leaf.set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	}
+	g.open(t, sweep([]string{"s00"}))
+	report := g.gate.GatherSlice(aggregator.SliceQuery{
+		ID: 1, From: "entry-9", Request: "r-1", Head: []byte("GET /p/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\n"), Services: []string{"s00"},
+		Attempts: 2, Records: 3, MinParts: 1, Objective: 100 * time.Millisecond, Due: 50 * time.Millisecond, LateUntil: 5 * time.Second,
+		GiveUp: 5 * time.Second, CallerLeft: 5 * time.Second,
+	})
+	if report.Final || g.runs() != 1 {
+		t.Fatalf("report %+v after %d runs, want a first one after one run", report, g.runs())
+	}
+	deadline := time.Now().Add(abandonTime + 2*reportPause + 300*time.Millisecond)
+	for g.leafs[0].left.Load()+g.leafs[1].left.Load() == 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("the leaf still works")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if g.runs() != 1 {
+		t.Errorf("%d requests ran for a slice whose second ones were not granted", g.runs())
+	}
+}
+
 // A message that names shards or times that make no sense costs that slice only.
 func TestSlicesThatMakeNoSenseAreRefused(t *testing.T) {
 	g := newGatherers(t, "s00")
