Bound the end of a stop

Closing the connections between instances waits for calls under way, such as a gatherer's wait for its next report; it gets 100 ms, and the end of the process closes the rest.

--- a/pkg/steward/entry.go
+++ b/pkg/steward/entry.go
@@ -35,6 +35,8 @@
 	ownListLook = 100 * time.Millisecond
 	// endMargin is left between the end of the service and the kill.
 	endMargin = 300 * time.Millisecond
+	// closeTime bounds the closing of what runs beside the callers' traffic, within that margin.
+	closeTime = 100 * time.Millisecond
 )
 
 type (
@@ -136,6 +138,20 @@
 	if err := e.gate.Shutdown(ctx); err != nil {
 		e.log.Error(err, "steward: requests were still under way at the end")
 	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		e.close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeTime):
+		e.log.Info("steward: connections between instances were still busy at the end")
+	}
+}
+
+// close ends what runs beside the callers' traffic. Calls that are under way may hold it up; the end of the process ends them.
+func (e *Entry) close() {
 	close(e.stop)
 	e.client.Close()
 	e.gossip.Close()
