--- a/pkg/gatekeeper/slice.go
+++ b/pkg/gatekeeper/slice.go
@@ -29,13 +29,13 @@
 )
 
 type (
-	// slices are the parts of other instances' queries that this instance gathers.
+	// sliceSet holds the slices of other instances' queries that are under way here.
 	sliceSet struct {
 		mu      sync.Mutex
 		running map[aggregator.SliceID]*slice
 	}
 
-	// slice is one of them.
+	// slice is some shards of another instance's query; run has it to itself, but for what mu guards.
 	slice struct {
 		query *query
 		id    aggregator.SliceID
