Let the load decide whether shards are gathered in slices

At the size in two years each gatherer of a data centre would get 82,900 slices a second. Beyond 20 requests a second at an average instance each asks the leafs itself; below 10 shards are gathered in slices again. The users' sites have 0.2 to 2, so that nothing changes there.

--- a/pkg/gatekeeper/fleet_budget.go
+++ b/pkg/gatekeeper/fleet_budget.go
@@ -46,6 +46,7 @@
 	defer f.mu.Unlock()
 	f.allRequests = all
 	f.shareBudget()
+	f.chooseSlices()
 }
 
 func (f *fleet) shareBudget() {
--- a/pkg/gatekeeper/fleet_slices.go
+++ b/pkg/gatekeeper/fleet_slices.go
@@ -33,6 +33,8 @@
 		addresses map[string]string
 		shards    []slicer.Shard
 		plan      slicer.Plan
+		// direct tells that each instance has so many requests that it asks the leafs itself.
+		direct bool
 	}
 )
 
@@ -40,7 +42,7 @@
 func (f *fleet) gatherersOf(services []string) map[string][]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.peers == nil {
+	if f.peers == nil || f.slicing.direct {
 		return nil
 	}
 	var groups map[string][]int
@@ -71,7 +73,10 @@
 		reflect.DeepEqual(f.slicing.addresses, f.addresses) {
 		return
 	}
-	f.slicing = slicing{members: f.members, addresses: f.addresses, shards: shards, plan: slicer.New(f.members, shards, f.centre)}
+	f.slicing = slicing{
+		members: f.members, addresses: f.addresses, shards: shards, plan: slicer.New(f.members, shards, f.centre),
+		direct: f.slicing.direct,
+	}
 	wanted := map[string]string{}
 	own := 0
 	for _, shard := range shards {
@@ -89,6 +94,19 @@
 	f.log.Info("gatekeeper: shards divided among instances", "members", len(f.members), "shards", len(shards), "own", own, "peers", len(wanted))
 }
 
+// chooseSlices decides by the load whether shards are gathered in slices, and shares the connections anew where that changed.
+func (f *fleet) chooseSlices() {
+	perInstance := float64(f.allRequests) / f.budget.Window.Seconds() / float64(max(1, f.instances))
+	direct := !slicer.Pays(!f.slicing.direct, perInstance)
+	if direct == f.slicing.direct {
+		return
+	}
+	f.slicing.direct = direct
+	f.log.Info("gatekeeper: way of queries changed", "direct", direct, "requests-a-second", perInstance, "instances", f.instances)
+	f.share()
+	f.wantWarm()
+}
+
 // shardsWithLeafs returns the shards of the routes with the data centres of their leafs that take work, in a fixed order.
 func (f *fleet) shardsWithLeafs() []slicer.Shard {
 	var shards []slicer.Shard
@@ -114,7 +132,7 @@
 // shareGathered limits the connections to the leafs of a shard that is gathered in slices, and tells whether it is.
 func (f *fleet) shareGathered(s *service) bool {
 	gatherers := f.slicing.plan.Gatherers(s.name)
-	if len(gatherers) == 0 {
+	if len(gatherers) == 0 || f.slicing.direct {
 		return false
 	}
 	own := f.slicing.plan.Gathers(f.self, s.name)
--- a/pkg/gatekeeper/slice_test.go
+++ b/pkg/gatekeeper/slice_test.go
@@ -317,6 +317,28 @@
 	}
 }
 
+// With many requests at each instance slices would be more than a gatherer bears: each instance asks the leafs itself.
+func TestBusyInstancesAskTheLeafsThemselves(t *testing.T) {
+	shards := shardNames(40)
+	g := newGatherers(t, shards...)
+	g.greatest()
+	g.open(t, sweep(shards))
+	window := int(g.gate.config.Budget.Window.Seconds())
+	for _, step := range []struct {
+		perInstance int
+		handed      bool
+	}{{1, true}, {232, false}, {1, true}} {
+		g.gate.SetAllRequests(step.perInstance * testInstances * window)
+		before := g.sliced()
+		if response, _ := g.ask(http.MethodGet, "/p/x", nil); response == nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("got %v", response)
+		}
+		if handed := g.sliced() > before; handed != step.handed {
+			t.Errorf("%d requests a second at each instance: handed over %v, want %v", step.perInstance, handed, step.handed)
+		}
+	}
+}
+
 // The instance that asked for a slice is gone without a word: the work for it ends at the leafs.
 func TestASliceThatNobodyWaitsForEnds(t *testing.T) {
 	g := newGatherers(t, "s00")
