Tell the other instances of a gatherer that is silent

Each instance found out by itself that the gatherers there were silent, with a late query, and gets one in six seconds.

Change: an instance that finds a gatherer silent, failing or stopping tells the others of its data centre in the datagrams of observations; they ask it at once whether it takes slices, and hand it none until it says so. One that finds most of its gatherers silent keeps quiet. TestSilentInstancesAreToldToTheOthers, TestADoubtedInstanceIsTriedAtOnce.

--- a/pkg/aggregator/peers.go
+++ b/pkg/aggregator/peers.go
@@ -36,11 +36,13 @@
 		linker *linker.Linker
 		now    func() time.Duration
 		log    logr.Logger
-		mu     sync.Mutex
-		peers  map[string]*peer
-		stop   chan struct{}
-		group  conc.WaitGroup
-		opens  chan struct{}
+		// onSilent is told of each instance that was found silent; nil tells nobody.
+		onSilent func(instance string)
+		mu       sync.Mutex
+		peers    map[string]*peer
+		stop     chan struct{}
+		group    conc.WaitGroup
+		opens    chan struct{}
 	}
 
 	peer struct {
@@ -66,6 +68,30 @@
 	}
 }
 
+// OnSilent sets who is told of each instance that was found silent by a query; it is set before Run.
+func (p *Peers) OnSilent(tell func(instance string)) { p.onSilent = tell }
+
+// Doubt takes another instance's word that a peer is silent: it gets no slices until it answers that it takes them.
+func (p *Peers) Doubt(instance string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.peers[instance]; known != nil && known.state.Usable() {
+		known.state.Doubt(p.now())
+		p.log.Info("aggregator: instance left out", "peer", instance, "cause", "another instance found it silent")
+	}
+}
+
+// mostSilent tells whether more than half of the peers are silent, which points to this instance.
+func (p *Peers) mostSilent() bool {
+	silent := 0
+	for _, known := range p.peers {
+		if !known.state.Usable() {
+			silent++
+		}
+	}
+	return 2*silent > len(p.peers)
+}
+
 // Run opens connections until Close.
 func (p *Peers) Run() { p.group.Go(p.loop) }
 
@@ -167,25 +193,41 @@
 // lost notes a failure of one connection; a later connection to the same instance is not concerned.
 func (p *Peers) lost(instance string, client *rpc.Client, cause string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	known := p.peers[instance]
 	if known == nil || known.line.Open() != client {
+		p.mu.Unlock()
 		_ = client.Close()
 		return
 	}
 	known.line.Drop(client)
-	if known.state.OnSilence(p.now()) {
-		p.log.Info("aggregator: instance left out", "peer", instance, "cause", cause)
-	}
+	tell := p.leaveOut(instance, known, cause)
+	p.mu.Unlock()
+	p.tell(instance, tell)
 }
 
 // leave notes that an instance takes no slices for the moment; what it has goes on.
 func (p *Peers) leave(instance string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	tell := false
 	if known := p.peers[instance]; known != nil && known.state.Usable() {
-		known.state.OnSilence(p.now())
-		p.log.Info("aggregator: instance left out", "peer", instance, "cause", "it takes no slices")
+		tell = p.leaveOut(instance, known, "it takes no slices")
+	}
+	p.mu.Unlock()
+	p.tell(instance, tell)
+}
+
+// leaveOut marks an instance as silent, and tells whether the others should hear of it.
+func (p *Peers) leaveOut(instance string, known *peer, cause string) bool {
+	if !known.state.OnSilence(p.now()) {
+		return false
+	}
+	p.log.Info("aggregator: instance left out", "peer", instance, "cause", cause)
+	return !p.mostSilent()
+}
+
+func (p *Peers) tell(instance string, tell bool) {
+	if tell && p.onSilent != nil {
+		p.onSilent(instance)
 	}
 }
 
--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -93,6 +93,9 @@
 		seen: map[string]lastSeen{}, instanceSet: placer.InstanceSet{DataCentre: config.DataCentre, Instances: map[string]int{config.DataCentre: 1}},
 		warming: make(chan struct{}, 1), peers: config.Peers,
 	}
+	if f.peers != nil {
+		f.peers.OnSilent(f.tellSilent)
+	}
 	go f.warmLoop()
 	time.AfterFunc(warmAfter, f.openAhead)
 	return f
--- a/pkg/gatekeeper/fleet_observations.go
+++ b/pkg/gatekeeper/fleet_observations.go
@@ -4,6 +4,7 @@
 package gatekeeper
 
 import (
+	"strings"
 	"time"
 
 	"lovagedeck/pkg/placer"
@@ -15,6 +16,10 @@
 	trustGain = 0.02
 	// trustLimit is the share of bad answers beyond which this instance takes the fault to be its own and tells nobody.
 	trustLimit = 0.5
+	// instancePrefix marks an observation of an instance that gathers shards, among those of leafs.
+	instancePrefix = "instance:"
+	// silenceMemory is how old another instance's word that a gatherer is silent may be: by then it has been asked.
+	silenceMemory = time.Second
 )
 
 // tellNews passes on what the end of an attempt says of the leaf, unless most leafs look bad from here. Of a shard that this
@@ -43,6 +48,7 @@
 	for _, s := range observations {
 		m := f.leafs[s.Leaf]
 		if m == nil {
+			f.doubt(s, now)
 			continue
 		}
 		turned := m.leaf.Take(placer.Observation{
@@ -55,3 +61,18 @@
 		}
 	}
 }
+
+// tellSilent passes on that an instance which gathers shards is silent: the others would each find out with a late query.
+func (f *fleet) tellSilent(instance string) {
+	if f.tell != nil {
+		f.tell(spreader.Observation{Leaf: instancePrefix + instance, Gone: true, SeenAt: f.now()})
+	}
+}
+
+// doubt acts on the word of another instance that a gatherer is silent.
+func (f *fleet) doubt(observation spreader.Observation, now time.Duration) {
+	instance, found := strings.CutPrefix(observation.Leaf, instancePrefix)
+	if found && f.peers != nil && now-observation.SeenAt < silenceMemory {
+		f.peers.Doubt(instance)
+	}
+}
--- a/pkg/gatekeeper/slice_test.go
+++ b/pkg/gatekeeper/slice_test.go
@@ -17,6 +17,7 @@
 	"lovagedeck/pkg/hedger"
 	"lovagedeck/pkg/linker"
 	"lovagedeck/pkg/router"
+	"lovagedeck/pkg/spreader"
 	"lovagedeck/pkg/tabulator"
 )
 
@@ -105,7 +106,7 @@
 	}
 	g.gate = first
 	deadline := time.Now().Add(5 * time.Second)
-	for len(g.handed(fields.Shards)) < len(g.wanted(fields.Shards)) {
+	for !g.connected(fields.Shards) {
 		if time.Now().After(deadline) {
 			t.Fatal("the instances are not connected")
 		}
@@ -113,26 +114,20 @@
 	}
 }
 
-// handed returns the shards that the first instance hands over at present, wanted those that it should.
-func (g *gatherers) handed(shards []string) map[int]bool {
-	handed := map[int]bool{}
-	for _, group := range g.gate.fleet.gatherersOf(shards) {
-		for _, shard := range group {
-			handed[shard] = true
+// connected tells whether the first instance can hand a slice to each instance that gathers some shard.
+func (g *gatherers) connected(shards []string) bool {
+	for _, shard := range shards {
+		for _, instance := range g.gate.fleet.slicing.plan.Gatherers(shard) {
+			if instance != "entry-1" && !g.gate.fleet.peers.Usable(instance) {
+				return false
+			}
 		}
 	}
-	return handed
+	return true
 }
 
-func (g *gatherers) wanted(shards []string) map[int]bool {
-	wanted := map[int]bool{}
-	for i, shard := range shards {
-		if !g.gate.fleet.slicing.plan.Gathers("entry-1", shard) {
-			wanted[i] = true
-		}
-	}
-	return wanted
-}
+// handsOver tells whether the first instance has shards that others gather.
+func (g *gatherers) handsOver(shards []string) bool { return len(g.gate.fleet.gatherersOf(shards)) > 0 }
 
 func shardNames(count int) []string {
 	var names []string
@@ -161,7 +156,7 @@
 	g := newGatherers(t, shards...)
 	g.greatest()
 	g.open(t, sweep(shards))
-	if len(g.wanted(shards)) == 0 {
+	if !g.handsOver(shards) {
 		t.Fatal("the first instance gathers everything itself")
 	}
 	for range 5 {
@@ -317,6 +312,41 @@
 	}
 }
 
+// A data centre is cut off: one instance finds its gatherers silent and tells the others, whose queries then go without them;
+// one that finds most of its gatherers silent keeps quiet.
+func TestSilentInstancesAreToldToTheOthers(t *testing.T) {
+	shards := shardNames(40)
+	g := newGatherers(t, shards...)
+	g.greatest()
+	told := make(chan spreader.Observation, 64)
+	g.gate.fleet.tell = func(observation spreader.Observation) { told <- observation }
+	g.open(t, sweep(shards))
+	var lost string
+	for instance := range g.gate.fleet.gatherersOf(shards) {
+		lost = instance
+	}
+	g.links[lost].Close()
+	if response, _ := g.ask(http.MethodGet, "/p/x", nil); response == nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("got %v", response)
+	}
+	var observation spreader.Observation
+	select {
+	case observation = <-told:
+	case <-time.After(time.Second):
+		t.Fatal("the others were not told")
+	}
+	other := g.gates[1]
+	if lost == "entry-2" {
+		other = g.gates[2]
+	}
+	other.TakeObservations([]spreader.Observation{observation, {Leaf: instancePrefix + "nobody", Gone: true, SeenAt: other.config.Now()}})
+	for instance := range other.fleet.gatherersOf(shards) {
+		if instance == lost {
+			t.Errorf("%s still gets slices of an instance that was told of its silence", lost)
+		}
+	}
+}
+
 // With many requests at each instance slices would be more than a gatherer bears: each instance asks the leafs itself.
 func TestBusyInstancesAskTheLeafsThemselves(t *testing.T) {
 	shards := shardNames(40)
--- a/pkg/slicer/peer.go
+++ b/pkg/slicer/peer.go
@@ -42,6 +42,13 @@
 	return news
 }
 
+// Doubt takes another instance's word that this one is silent: it is asked at once whether it takes slices, and gets none
+// until it says so.
+func (p *Peer) Doubt(now time.Duration) {
+	p.silent = true
+	p.retryAt = now
+}
+
 // MayTry tells whether a silent instance should be asked now whether it is back.
 func (p *Peer) MayTry(now time.Duration) bool { return p.silent && now >= p.retryAt }
 
--- a/pkg/slicer/plan_test.go
+++ b/pkg/slicer/plan_test.go
@@ -153,6 +153,19 @@
 	}
 }
 
+func TestADoubtedInstanceIsTriedAtOnce(t *testing.T) {
+	var p Peer
+	p.Doubt(time.Second)
+	if p.Usable() || !p.MayTry(time.Second) {
+		t.Fatal("an instance that others found silent is used, or not tried at once")
+	}
+	p.OnBack()
+	p.OnSilence(2 * time.Second)
+	if !p.MayTry(2*time.Second + retryFirst) {
+		t.Error("a doubt makes the next pause longer")
+	}
+}
+
 func TestPatience(t *testing.T) {
 	cases := []struct {
 		name          string
