Count a slice that its gatherer no longer knows as run

Found by reading: an instance that was held up between two reports asked for more of a slice that had ended meanwhile, was told that nothing was done, and asked the leafs as if the request had not run: up to two more of them. The answer now says only that nothing more comes, and the open shards of the slice have used their attempts. TestASliceThatIsNoLongerKnownHasRun fails with the former answer.

--- a/pkg/gatekeeper/scatter_slices.go
+++ b/pkg/gatekeeper/scatter_slices.go
@@ -149,7 +149,7 @@
 	s.extra, s.overBudget = r.report.Extra, r.report.OverBudget
 	q.noteOpen(s, r.report, now)
 	if r.report.Final {
-		s.over = true
+		q.endSlice(s)
 		return
 	}
 	s.call.More(q.reportTo(s))
@@ -165,7 +165,17 @@
 		shard := s.shards[open.Shard]
 		s.open[shard] = open.Leafs
 		q.course.OnGranted(shard, until)
-		if open.Lost || report.Final {
+		if open.Lost {
+			q.course.OnLost(shard)
+		}
+	}
+}
+
+// endSlice notes that nothing more comes of a slice; its open shards have used their attempts.
+func (q *query) endSlice(s *handedSlice) {
+	s.over = true
+	for _, shard := range s.shards {
+		if !q.course.Done(shard) {
 			q.course.OnLost(shard)
 		}
 	}
--- a/pkg/gatekeeper/slice.go
+++ b/pkg/gatekeeper/slice.go
@@ -80,7 +80,8 @@
 func (g *Gatekeeper) MoreOfSlice(id aggregator.SliceID) aggregator.Report {
 	s := g.slices.find(id)
 	if s == nil {
-		return aggregator.Report{NotRun: "the slice is not known", Final: true}
+		// It has run, and ended since nobody waited for it.
+		return aggregator.Report{Final: true}
 	}
 	s.grant()
 	return s.collect(g)
--- a/pkg/gatekeeper/slice_test.go
+++ b/pkg/gatekeeper/slice_test.go
@@ -34,6 +34,8 @@
 type holdable struct {
 	*Gatekeeper
 	hold atomic.Pointer[chan bool]
+	// forgets lets it know none of its slices when it is asked for more.
+	forgets atomic.Bool
 }
 
 func (h *holdable) GatherSlice(query aggregator.SliceQuery) aggregator.Report {
@@ -43,6 +45,13 @@
 	return h.Gatekeeper.GatherSlice(query)
 }
 
+func (h *holdable) MoreOfSlice(id aggregator.SliceID) aggregator.Report {
+	if h.forgets.Load() {
+		id = aggregator.SliceID{From: "nobody"}
+	}
+	return h.Gatekeeper.MoreOfSlice(id)
+}
+
 const testInstances = 8
 
 func newGatherers(t *testing.T, services ...string) *gatherers {
@@ -273,6 +282,40 @@
 	}
 }
 
+// The instance that gathers has ended a slice by the time it is asked for more: its shards have run, and are not asked as if they
+// had not.
+func TestASliceThatIsNoLongerKnownHasRun(t *testing.T) {
+	shards := shardNames(40)
+	g := newGatherers(t, shards...)
+	g.greatest()
+	for i, leaf := range g.leafs {
+		if i/2%5 == 0 {
+			leaf.set(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		}
+	}
+	g.open(t, sweep(shards))
+	for _, held := range g.holds {
+		held.forgets.Store(true)
+	}
+	begun := time.Now()
+	response, _ := g.ask(http.MethodGet, "/p/x", nil)
+	if response == nil || response.StatusCode != http.StatusBadGateway && response.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("got %v after %v, want a failure: too few shards have a part", response, time.Since(begun))
+	}
+	perShard := map[string]int64{}
+	for _, leaf := range g.leafs {
+		perShard[leaf.service] += leaf.runs.Load()
+	}
+	for service, runs := range perShard {
+		if runs > 2 {
+			t.Errorf("the request ran on %d leafs of %s, its route allows 2", runs, service)
+		}
+	}
+	if report := g.gate.MoreOfSlice(aggregator.SliceID{ID: 99, From: "nobody"}); report.NotRun != "" {
+		t.Errorf("a slice that is no longer known is said not to have run: %s", report.NotRun)
+	}
+}
+
 func withPath(fields router.RouteFields) router.RouteFields {
 	fields.Host, fields.Prefix = "h.example", "/p/"
 	return fields
