Decode and log the rates that overloaded leafs state

The logs could not tell whether an instance knew of a rate. The header is decoded once, in pkg/exchanger; what an instance knows of a leaf is in limiter.Limit, and each change of it is one log line with the request that told it. An invalid rate (negative, NaN, infinite, more than one) is one log line for each leaf, and the response is used as before.

--- a/pkg/exchanger/exchange.go
+++ b/pkg/exchanger/exchange.go
@@ -42,6 +42,8 @@
 		NotExecuted string
 		// Proof is the stamp with which an upstream proves that it gave the response.
 		Proof string
+		// RateLimit states how many requests a second an overloaded upstream takes from all instances together.
+		RateLimit string
 	}
 
 	// Request has what all attempts of one request share.
@@ -77,6 +79,8 @@
 		// the exchange.
 		QueueTime    time.Duration
 		ResponseTime time.Duration
+		// RateLimit is the rate that the response states.
+		RateLimit RateLimit
 		// reserved is the number of bytes reserved from quota for the body.
 		reserved int64
 		quota    *Quota
--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -81,6 +81,8 @@
 	upstream struct {
 		leaf *placer.Leaf
 		pool *exchanger.Pool
+		// hasRateProblem is set once the leaf has stated an invalid rate.
+		hasRateProblem bool
 	}
 )
 
--- a/pkg/layering/layering_test.go
+++ b/pkg/layering/layering_test.go
@@ -12,7 +12,7 @@
 
 // purePackages make decisions only: they take the time and random numbers as arguments and do no input or output.
 var purePackages = []string{
-	"admitter", "assigner", "chooser", "coordinator", "gatherer", "hedger", "placer", "recruiter", "replicator", "router",
+	"admitter", "assigner", "chooser", "coordinator", "gatherer", "hedger", "limiter", "placer", "recruiter", "replicator", "router",
 	"slicer", "spreader", "tabulator", "ticketer", "watcher",
 }
 
@@ -50,7 +50,7 @@
 }
 
 // platformLiterals are names that the users' platform defines. Only the folder platform may contain them.
-var platformLiterals = []string{"X-Lovagedeck-", "LOVAGEDECK_CONFIG", "fanoutServices", "warmupLeftMs", "cloudApi", "trafficSplit", "Evacuations", "/-/"}
+var platformLiterals = []string{"X-Lovagedeck-", "LOVAGEDECK_CONFIG", "fanoutServices", "warmupLeftMs", "cloudApi", "trafficSplit", "Evacuations", "/-/", "Server-Limit"}
 
 func TestPlatformLiteralsAppearOnlyInPlatformFolder(t *testing.T) {
 	folders, err := filepath.Glob(filepath.Join("..", "*"))
--- /dev/null
+++ b/pkg/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter records the request rates that overloaded leafs state in their responses.
+package limiter
--- a/pkg/placer/leaf.go
+++ b/pkg/placer/leaf.go
@@ -6,6 +6,8 @@
 
 import (
 	"time"
+
+	"lovagedeck/pkg/limiter"
 )
 
 const (
@@ -110,6 +112,7 @@
 		// isKnownUnhealthy is set if the latest observation, made here or applied from another instance, was that the leaf is
 		// slow, failing or replaced.
 		isKnownUnhealthy bool
+		rateLimit        limiter.Limit
 	}
 )
 
