Owners keep the rate limits of their leafs

The owner of a leaf is the one place that counts here already, so that its admission paces what it sends, holdings included. It refuses at once what no slot comes for before its deadline and tells other instances, which prefer other replicas and send no hedge.

The emulated leafs state rates, count what exceeds them, and the load tool has the experiment rate-limits.

--- a/pkg/admitter/admitter.go
+++ b/pkg/admitter/admitter.go
@@ -23,6 +23,8 @@
 	RefusedPriority Refusal = "overloaded"
 	// RefusedCold means that the request is a hedge and the leaf is cold or in backoff.
 	RefusedCold Refusal = "leaf-cold"
+	// RefusedRateLimit means that the rate limit of the leaf leaves no room for the request before its deadline, or for a hedge.
+	RefusedRateLimit Refusal = "rate-limited"
 	// RefusedBusy means that the request is a hedge and would have to wait in the queue.
 	RefusedBusy Refusal = "leaf-busy"
 )
@@ -59,6 +61,7 @@
 		// occupies a slot.
 		unconfirmedUntil []time.Duration
 		threshold        threshold
+		rateLimit        rateLimit
 		// lastTimeout is the time that the last accepted request had until its deadline.
 		lastTimeout time.Duration
 	}
@@ -89,14 +92,17 @@
 
 	// Condition is the admission state of a leaf, as its owner reports it to other instances.
 	Condition struct {
-		Limit            float64
-		Slots            int
-		Running          int
-		Queued           int
-		Latency          time.Duration
-		Threshold        float64
-		InBackoff        bool
-		IsCold           bool
+		Limit     float64
+		Slots     int
+		Running   int
+		Queued    int
+		Latency   time.Duration
+		Threshold float64
+		InBackoff bool
+		IsCold    bool
+		// IsRateLimited is set while the leaf states a rate limit, and SlotWait is the time until it takes another request.
+		IsRateLimited    bool
+		SlotWait         time.Duration
 		LimitResetAt     time.Duration
 		LimitResetReason string
 	}
@@ -175,10 +181,10 @@
 	if a.warmUp.inBackoff(now) || a.occupiedSlots(now) >= a.limit() {
 		return Request{}, 0, false
 	}
-	head, ok := a.queue.pop()
-	if !ok {
+	if a.queue.length == 0 || !a.TakeSlot(now) {
 		return Request{}, 0, false
 	}
+	head, _ := a.queue.pop()
 	waited := now - head.enqueuedAt
 	a.threshold.onDequeued(waited)
 	a.inFlight[head.request.ID] = inFlightRequest{request: head.request, startedAt: now}
@@ -265,6 +271,7 @@
 	return Condition{
 		Limit: a.warmUp.limit, Slots: a.slots, Running: a.occupiedSlots(now), Queued: a.queue.length,
 		Latency: a.warmUp.baseline, Threshold: a.threshold.value, InBackoff: a.warmUp.inBackoff(now),
+		IsRateLimited: a.rateLimit.pacer != nil, SlotWait: a.waitForSlots(a.queue.length+1, now),
 		IsCold: a.isCold(), LimitResetAt: a.warmUp.resetAt, LimitResetReason: a.warmUp.resetReason,
 	}
 }
@@ -294,6 +301,9 @@
 	if now+a.expectedWait(request.Caller, now)+a.warmUp.baseline > request.Deadline {
 		return RefusedDeadline
 	}
+	if now+a.waitForSlots(a.queue.length+1, now)+a.warmUp.baseline > request.Deadline {
+		return RefusedRateLimit
+	}
 	return NotRefused
 }
 
@@ -301,6 +311,9 @@
 	if a.isCold() || a.warmUp.inBackoff(now) {
 		return RefusedCold
 	}
+	if a.rateLimit.pacer != nil {
+		return RefusedRateLimit
+	}
 	if a.queue.length > 0 || a.occupiedSlots(now) >= a.limit() {
 		return RefusedBusy
 	}
@@ -352,7 +365,7 @@
 }
 
 func (t *threshold) onRefused(refusal Refusal) {
-	if refusal == RefusedDeadline || refusal == RefusedQueueFull {
+	if refusal == RefusedDeadline || refusal == RefusedQueueFull || refusal == RefusedRateLimit {
 		t.refused++
 	}
 }
--- a/pkg/chooser/chooser.go
+++ b/pkg/chooser/chooser.go
@@ -22,10 +22,12 @@
 	maxEjection       = 10 * time.Second
 	maxEjectedPercent = 50
 	backoffPenalty    = 200 * time.Millisecond
-	reportLifetime    = 2 * time.Second
-	drawsPerChoice    = 2
-	latencyHalfLife   = 10 * time.Second
-	minUnavailable    = 100 * time.Millisecond
+	// rateLimitPenalty prefers every other replica, because a rate-limited one takes only some of its usual requests.
+	rateLimitPenalty = 200 * time.Millisecond
+	reportLifetime   = 2 * time.Second
+	drawsPerChoice   = 2
+	latencyHalfLife  = 10 * time.Second
+	minUnavailable   = 100 * time.Millisecond
 	// maxUnavailable is short so that a leaf that is available again is soon used again.
 	maxUnavailable = time.Second
 )
@@ -60,6 +62,9 @@
 		Threshold float64
 		InBackoff bool
 		IsCold    bool
+		// IsRateLimited is set while the leaf states a rate limit, and SlotWait is the time until it takes another request.
+		IsRateLimited bool
+		SlotWait      time.Duration
 	}
 
 	// Option configures a Chooser.
@@ -204,7 +209,7 @@
 // AllowsHedge reports whether a hedge may be sent to the leaf: it is not cold, in backoff, ejected or unavailable.
 func (c *Chooser) AllowsHedge(leaf assigner.LeafID, now time.Duration) bool {
 	state := c.stateOf(leaf)
-	return !state.report.IsCold && !state.report.InBackoff && now >= state.ejectedUntil && now >= state.unavailableUntil
+	return !state.report.IsCold && !state.report.InBackoff && !state.report.IsRateLimited && now >= state.ejectedUntil && now >= state.unavailableUntil
 }
 
 func (c *Chooser) stateOf(leaf assigner.LeafID) *leafState {
@@ -296,5 +301,8 @@
 	if state.report.InBackoff && now-state.reportedAt < reportLifetime {
 		total += float64(backoffPenalty)
 	}
+	if state.report.IsRateLimited && now-state.reportedAt < reportLifetime {
+		total += float64(max(rateLimitPenalty, state.report.SlotWait))
+	}
 	return total
 }
--- a/pkg/chooser/chooser_test.go
+++ b/pkg/chooser/chooser_test.go
@@ -123,3 +123,19 @@
 		t.Fatal("got no candidate with one leaf ejected and two unavailable, want one of them")
 	}
 }
+
+// A rate-limited leaf would refuse most of its usual requests, each of which costs a retry.
+func TestRateLimitedReplicaIsNotChosen(t *testing.T) {
+	c := New(rand.New(rand.NewPCG(1, 1)))
+	c.OnReport("limited", Report{Limit: 6, Latency: 5 * time.Millisecond, IsRateLimited: true}, time.Second)
+	c.OnReport("busy", Report{Limit: 6, Running: 9, Latency: 5 * time.Millisecond}, time.Second)
+	candidates := []Candidate{{Leaf: "limited", Weight: 1}, {Leaf: "busy", Weight: 1}}
+	for range 50 {
+		if got := c.Choose(candidates, time.Second); got != 1 {
+			t.Fatalf("got candidate %d, want the busy one", got)
+		}
+	}
+	if c.AllowsHedge("limited", time.Second) {
+		t.Error("a hedge to the rate-limited leaf is allowed, want it not allowed")
+	}
+}
--- a/pkg/dispatcher/convert.go
+++ b/pkg/dispatcher/convert.go
@@ -21,7 +21,7 @@
 func toReport(c peer.Condition) chooser.Report {
 	return chooser.Report{
 		Limit: c.Limit, Running: c.Running, Queued: c.Queued, Latency: c.Latency,
-		Threshold: c.Threshold, InBackoff: c.Resting, IsCold: c.Cold,
+		Threshold: c.Threshold, InBackoff: c.Resting, IsCold: c.Cold, IsRateLimited: c.RateLimited, SlotWait: c.SlotWait,
 	}
 }
 
--- a/pkg/emulator/fleet.go
+++ b/pkg/emulator/fleet.go
@@ -27,6 +27,9 @@
 	ViolationOutOfService Violation = "taken-out"
 	// ViolationDuplicateEffect counts repeated executions of a request that is not idempotent.
 	ViolationDuplicateEffect Violation = "double-run"
+	// ViolationRateLimit counts requests beyond one and a half times the rate that a leaf states, and rateLimitSlack, in
+	// rateLimitWindow, from rateLimitGrace after the leaf first stated it.
+	ViolationRateLimit Violation = "rate-limit"
 
 	// outOfServiceGrace is the time allowed for requests to stop after a data centre or leaf goes out of service.
 	outOfServiceGrace = 3 * time.Second
--- a/pkg/emulator/leaf.go
+++ b/pkg/emulator/leaf.go
@@ -64,6 +64,7 @@
 		coldSince        time.Time
 		overloadedAt     time.Time
 		slowdown         float64
+		rateLimit        rateLimit
 		isDown           bool
 		isDraining       bool
 	}
@@ -191,7 +192,10 @@
 
 func (l *Leaf) handleHoldings(ctx *fasthttp.RequestCtx) {
 	l.mu.Lock()
-	response := leaf.Response{RunID: l.runID(), Holdings: l.holdings}
+	if l.rateLimit.recordArrival(time.Now()) {
+		l.fleet.recordViolation(ViolationRateLimit, l.spec.ID)
+	}
+	response := leaf.Response{RunID: l.runID(), Holdings: l.holdings, RateLimit: l.rateLimit.statement()}
 	l.mu.Unlock()
 	writeResponse(ctx, fasthttp.StatusOK, response)
 }
@@ -223,7 +227,7 @@
 	if refusal != "" {
 		l.fleet.updateCounts(func(c *Counts) { c.Refused++ })
 		l.mu.Lock()
-		response := leaf.Response{ID: request.ID, Reason: refusal, RunID: l.runID(), Holdings: l.holdings}
+		response := leaf.Response{ID: request.ID, Reason: refusal, RunID: l.runID(), Holdings: l.holdings, RateLimit: l.rateLimit.statement()}
 		l.mu.Unlock()
 		writeResponse(ctx, refusalStatus(refusal), response)
 		return
@@ -251,6 +255,9 @@
 	now := time.Now()
 	l.fleet.updateCounts(func(c *Counts) { c.Received++ })
 	l.fleet.checkOutOfService(l.spec)
+	if l.rateLimit.recordArrival(now) {
+		l.fleet.recordViolation(ViolationRateLimit, l.spec.ID)
+	}
 	switch {
 	case l.isDraining:
 		return nil, leaf.ReasonLeaving
@@ -330,7 +337,7 @@
 	l.mu.Lock()
 	response := leaf.Response{
 		ID: request.ID, Shard: request.Shard, Index: request.Index, Version: request.Version,
-		Hits: hits, RunID: l.runID(), Holdings: l.holdings,
+		Hits: hits, RunID: l.runID(), Holdings: l.holdings, RateLimit: l.rateLimit.statement(),
 	}
 	l.mu.Unlock()
 	l.fleet.updateCounts(func(c *Counts) { c.Answered++ })
--- a/pkg/experimenter/experiments.go
+++ b/pkg/experimenter/experiments.go
@@ -26,6 +26,7 @@
 	{"cold-start", "one leaf, then a data centre starts cold, then leafs turn cold unannounced", runColdStart},
 	{"data-centre-out-in", "a data centre is taken out and brought back", runDataCentre},
 	{"overload", "1, 1.5 and 3 times the capacity of the leafs", runOverload},
+	{"rate-limits", "every third leaf states a rate limit and an owner is killed, then all replicas of one shard do", runRateLimits},
 	{"versions", "a new index every two seconds, then a repartition", runVersions},
 	{"entry-loss", "one owner killed, then two at once", runEntryLoss},
 	{"control-cut", "each control instance silently isolated in turn", runControlCut},
@@ -99,6 +100,19 @@
 	return nil
 }
 
+func runRateLimits(e *environment) error {
+	const interval, perSecond, lowPerSecond = 3, 2, 0.5
+	if err := e.runPhase("a third of the leafs", normalLoad*2/3, 16*time.Second,
+		step{0, "every third leaf states a rate limit", func() error { e.setRateLimits(interval, perSecond); return nil }},
+		step{10 * time.Second, "kill one instance", func() error { e.tier.Kill(e.tier.Size() - 1); return nil }}); err != nil {
+		return err
+	}
+	e.clearRateLimits()
+	return e.runPhase("one shard", normalLoad*2/3, 14*time.Second,
+		step{time.Second, "all replicas of one shard state a rate limit", func() error { e.limitShardOf(e.fleet.Leafs()[0], lowPerSecond); return nil }},
+		step{12 * time.Second, "no leaf states a rate limit", func() error { e.clearRateLimits(); return nil }})
+}
+
 func runVersions(e *environment) error {
 	index := e.shape.Name
 	publish := func() error { e.fleet.Publish(index, true); return nil }
@@ -157,6 +171,29 @@
 	}
 }
 
+func (e *environment) setRateLimits(interval int, perSecond float64) {
+	for i, l := range e.fleet.Leafs() {
+		if i%interval == 0 {
+			l.SetRateLimit(perSecond)
+		}
+	}
+}
+
+// limitShardOf makes all replicas of the shard that the leaf holds state a rate limit.
+func (e *environment) limitShardOf(of *emulator.Leaf, perSecond float64) {
+	for _, l := range e.fleet.Leafs() {
+		if l.Spec().Service == of.Spec().Service && l.Spec().Shard == of.Spec().Shard {
+			l.SetRateLimit(perSecond)
+		}
+	}
+}
+
+func (e *environment) clearRateLimits() {
+	for _, l := range e.fleet.Leafs() {
+		l.ClearRateLimit()
+	}
+}
+
 func (e *environment) stopLeafsIn(dataCentre string) {
 	for _, leaf := range e.leafsIn(dataCentre) {
 		leaf.Stop()
--- a/pkg/leaf/client.go
+++ b/pkg/leaf/client.go
@@ -107,9 +107,8 @@
 }
 
 // Holdings asks the leaf which index versions and shards it holds.
-func (c *Client) Holdings() (Response, error) {
-	exchange, err := c.exchange(fasthttp.MethodGet, PathHoldings, nil, holdingsTimeout)
-	return exchange.response, err
+func (c *Client) Holdings() (Exchange, error) {
+	return c.exchange(fasthttp.MethodGet, PathHoldings, nil, holdingsTimeout)
 }
 
 // Preconnect opens connections until count are open or the limit is reached.
--- a/pkg/leaf/wire.go
+++ b/pkg/leaf/wire.go
@@ -2,13 +2,18 @@
 //
 //	POST /search  {"id":"9f-1","service":"customs-desk-01","shard":0,"index":"agency","version":41,"remaining-us":48000,"text":"fig"}
 //	200           {"id":"9f-1","shard":0,"index":"agency","version":41,"hits":["a"],"start":"7","holdings":[...]}
+//	                              with "rate-limit":12.5 while the leaf takes only so many requests a second
 //	409 or 503    {"id":"9f-1","reason":"version-gone","started":false}
 //	POST /cancel  {"id":"9f-1"}
 //	GET /holdings {"start":"7","holdings":[{"index":"agency","version":41,"shard":0,"shards":2}]}
 
 package leaf
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
 
 const (
 	// PathSearch is the path of search requests for one shard.
@@ -60,5 +65,23 @@
 		Holdings []Holding       `json:"holdings,omitempty"`
 		Reason   string          `json:"reason,omitempty"`
 		Started  bool            `json:"started,omitempty"`
+		// RateLimit is the number of requests a second that the leaf takes while it is overloaded, or empty. It is decoded by
+		// StatedRate, so that an invalid one does not make the response unusable.
+		RateLimit json.RawMessage `json:"rate-limit,omitempty"`
 	}
 )
+
+// StatedRate returns the rate limit that the leaf states, in requests a second. It returns false if there is none, and an error
+// if it is invalid.
+func (r Response) StatedRate() (perSecond float64, isStated bool, err error) {
+	if len(r.RateLimit) == 0 {
+		return 0, false, nil
+	}
+	if err := json.Unmarshal(r.RateLimit, &perSecond); err != nil {
+		return 0, false, errors.Wrap(err, "decode the rate limit")
+	}
+	if perSecond < 0 {
+		return 0, false, errors.Errorf("decode the rate limit: got %g requests a second", perSecond)
+	}
+	return perSecond, true, nil
+}
--- a/pkg/limiter/allocator.go
+++ b/pkg/limiter/allocator.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// minPerSecond replaces lower rates, 0 among them: one request in 4 s finds out when the limit ends.
-	minPerSecond = 0.25
+	// MinPerSecond replaces lower rates, 0 among them: one request in 4 s finds out when the limit ends.
+	MinPerSecond = 0.25
 	// standbyShare is the share of the rate that the standby of an allocator hands out while some instances cannot reach
 	// the allocator. Others still may, and both together must stay below one and a half times the rate.
 	standbyShare = 0.15
@@ -70,7 +70,7 @@
 		if len(a.leafs) >= maxAllocations {
 			return Grant{Wait: allocationRetention, Limit: demand.Limit}
 		}
-		rate := max(minPerSecond, demand.Limit.perSecond)
+		rate := max(MinPerSecond, demand.Limit.perSecond)
 		entry = &allocation{limit: demand.Limit, regular: NewPacer(takeoverRate(rate), now), standby: NewPacer(demand.standbyRate(rate), now), since: now}
 		a.leafs[demand.Leaf] = entry
 	}
@@ -79,7 +79,7 @@
 	if !entry.limit.isLimited || demand.IsReport {
 		return Grant{IsGranted: true, Limit: entry.limit}
 	}
-	rate := max(minPerSecond, entry.limit.perSecond)
+	rate := max(MinPerSecond, entry.limit.perSecond)
 	pacer := entry.regular
 	switch {
 	case demand.IsStandby:
@@ -92,7 +92,7 @@
 	return Grant{IsGranted: ok, Wait: wait, Limit: entry.limit}
 }
 
-func takeoverRate(rate float64) float64 { return max(minPerSecond, takeoverShare*rate) }
+func takeoverRate(rate float64) float64 { return max(MinPerSecond, takeoverShare*rate) }
 
 // standbyRate returns the part of the rate of a leaf that is handed out without its allocator.
 func (d Demand) standbyRate(rate float64) float64 {
--- a/pkg/limiter/pacer.go
+++ b/pkg/limiter/pacer.go
@@ -37,3 +37,9 @@
 	p.lastSlot = slot
 	return wait, true
 }
+
+// WaitFor returns the time until the given number of slots have passed, without assigning any.
+func (p *Pacer) WaitFor(slots int, now time.Duration) time.Duration {
+	first := max(p.lastSlot+p.interval, now-burstWindow)
+	return max(0, first+time.Duration(slots-1)*p.interval-now)
+}
--- a/pkg/owner/owned_leaf.go
+++ b/pkg/owner/owned_leaf.go
@@ -36,6 +36,8 @@
 	runID     string
 	hasOpened bool
 	hasEnded  bool
+	// hasRateProblem is set once the leaf has stated an invalid rate limit.
+	hasRateProblem bool
 }
 
 func newOwnedLeaf(o *Owner, record coordinator.LeafRecord, row tabulator.Row) *ownedLeaf {
@@ -197,18 +199,20 @@
 func (l *ownedLeaf) refreshHoldings() {
 	l.mu.Lock()
 	client := l.client
-	isOpen := l.hasOpened && !l.hasEnded
+	isAllowed := l.hasOpened && !l.hasEnded && l.admission.TakeSlot(l.owner.config.Now())
 	l.mu.Unlock()
-	if !isOpen {
+	if !isAllowed {
 		return
 	}
-	response, err := client.Holdings()
+	exchange, err := client.Holdings()
 	if err != nil {
 		return
 	}
+	response := exchange.Response()
 	restarted := l.hasRestarted(response.RunID)
 	l.mu.Lock()
 	l.updateFrom(response)
+	l.updateRateLimit(exchange, l.owner.config.Now())
 	if restarted {
 		l.admission.OnRestart(l.owner.config.Now())
 	}
@@ -309,6 +313,7 @@
 func toCondition(c admitter.Condition, now time.Duration) peer.Condition {
 	return peer.Condition{
 		Known: true, Limit: c.Limit, Slots: c.Slots, Running: c.Running, Queued: c.Queued, Latency: c.Latency,
-		Threshold: c.Threshold, Resting: c.InBackoff, Cold: c.IsCold, ClosedFor: now - c.LimitResetAt, ClosedReason: c.LimitResetReason,
+		Threshold: c.Threshold, Resting: c.InBackoff, Cold: c.IsCold, RateLimited: c.IsRateLimited, SlotWait: c.SlotWait,
+		ClosedFor: now - c.LimitResetAt, ClosedReason: c.LimitResetReason,
 	}
 }
--- a/pkg/owner/owned_leaf_exchange.go
+++ b/pkg/owner/owned_leaf_exchange.go
@@ -5,12 +5,14 @@
 package owner
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"lovagedeck/pkg/admitter"
 	"lovagedeck/pkg/leaf"
+	"lovagedeck/pkg/limiter"
 	"lovagedeck/pkg/peer"
 )
 
@@ -30,6 +32,7 @@
 	l.mu.Lock()
 	l.admission.Done(pending.admissionID, outcome, now)
 	l.updateFrom(exchange.Response())
+	l.updateRateLimit(exchange, now)
 	reply.Condition = toCondition(l.admission.Condition(now), now)
 	// The last reset of the limit is reported as it was known when the request was sent.
 	reply.Condition.ClosedFor = now - conditionAtSend.LimitResetAt
@@ -113,6 +116,23 @@
 	}
 }
 
+// updateRateLimit records the rate limit that a response states; l.mu must be held. A refusal without one does not end the
+// limit.
+func (l *ownedLeaf) updateRateLimit(exchange leaf.Exchange, now time.Duration) {
+	perSecond, isStated, err := exchange.Response().StatedRate()
+	if err != nil && !l.hasRateProblem {
+		l.hasRateProblem = true
+		l.owner.config.RecordEvent("rate-limit-invalid", string(l.record.ID), err.Error())
+	}
+	if err != nil || !isStated && !exchange.OK() {
+		return
+	}
+	change := l.admission.OnRateLimit(isStated, perSecond/float64(max(1, l.owner.config.SplitInstances)), now-exchange.ResponseTime(), now)
+	if change != limiter.Unchanged {
+		l.owner.config.RecordEvent("rate-limit-"+change.String(), string(l.record.ID), fmt.Sprintf("%g requests a second", perSecond))
+	}
+}
+
 func isOverload(refusal admitter.Refusal) bool {
 	switch refusal {
 	case admitter.RefusedPriority, admitter.RefusedQueueFull, admitter.RefusedDeadline:
--- a/pkg/peer/wire.go
+++ b/pkg/peer/wire.go
@@ -82,6 +82,9 @@
 		Latency time.Duration
 		// Threshold is the lowest priority that is admitted.
 		Threshold float64
+		// RateLimited is set while the leaf states a rate limit, and SlotWait is the time until it takes another request.
+		RateLimited bool
+		SlotWait    time.Duration
 		// Resting is set while the leaf is in backoff, Cold while its concurrency limit is at the minimum.
 		Resting bool
 		Cold    bool
