--- a/pkg/steward/control.go
+++ b/pkg/steward/control.go
@@ -167,9 +167,9 @@
 // propose submits a command of an operator and logs its result.
 func (c *Control) propose(command tabulator.Command) error {
 	startedAt := c.now()
-	err := c.submit(command)
+	result, err := c.submit(command)
 	c.log.Info("steward: order", "what", describeCommand(command), "acknowledged", err == nil, "error", fmt.Sprint(err),
-		"took-ms", (c.now() - startedAt).Milliseconds())
+		"revision", result.Revision, "changed", err == nil && !result.Repeated, "took-ms", (c.now() - startedAt).Milliseconds())
 	return err
 }
 
@@ -184,17 +184,17 @@
 }
 
 // submit proposes a command to the replicated log and returns an error unless it was accepted.
-func (c *Control) submit(command tabulator.Command) error {
+func (c *Control) submit(command tabulator.Command) (tabulator.Result, error) {
 	reply := c.server.Propose(command)
 	switch {
 	case reply.Refused != "":
-		return errors.New(reply.Refused)
+		return reply.Result, errors.New(reply.Refused)
 	case reply.Unknown:
-		return errors.New("the outcome is not known")
+		return reply.Result, errors.New("the outcome is not known")
 	case reply.Result.Verdict != tabulator.VerdictAccepted:
-		return errors.Errorf("%s: %v", reply.Result.Verdict, reply.Result.Faults)
+		return reply.Result, errors.Errorf("%s: %v", reply.Result.Verdict, reply.Result.Faults)
 	}
-	return nil
+	return reply.Result, nil
 }
 
 func (c *Control) now() time.Duration { return time.Since(c.startedAt) }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,7 +78,7 @@
 	d.addLeafs(append([]string{"once", "safe"}, shardNames...))
 	d.start()
 	tr := newTraffic(d, seed)
-	random := rand.New(rand.NewPCG(seed, 7))
+	random := newRandom(seed)
 	for startedAt := time.Now(); !tr.putDocument(random); {
 		if time.Since(startedAt) > startTimeout {
 			t.Fatal("the first document was not acknowledged before the start timeout")
@@ -108,6 +108,8 @@
 		seed, c.servedCount, c.partialCount, c.refusedCount, c.failedCount, len(c.acknowledged), len(f.injected), f.injected)
 }
 
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 7)) }
+
 // checkFinalDocument reads the newest acknowledged document back from every control instance.
 func checkFinalDocument(t *testing.T, d *deployment, tr *traffic) {
 	want := d.checker.minVersionToRead(0)
