Do not execute an order for a data centre after newer ones

Cause: an order ("in", "out") was executed whenever it was read, unconditionally. The operator gives up after a second and sends the order again to another instance; the first copy stayed in the socket of a paused or starved instance, on its way to the leader or in its queue, and was executed after a newer order had been acknowledged. Class: a message that was held up acts on a state that its sender no longer knows. Routing documents are safe, since the highest version wins.

An order is now based on the revision of the data centre that a majority confirmed while the operator still waited. A newer order changes that revision, so that the late copy conflicts wherever it was held up. An operator that has closed its connection gets nothing executed. The state machine is as before: the conditional command exists, so that older builds replay the same log.

TestDelayedOrderDoesNotUndoNewerOne holds a copy up after the state was read.

--- a/pkg/controller/server.go
+++ b/pkg/controller/server.go
@@ -361,6 +361,15 @@
 	return document, isFresh && err == nil
 }
 
+// DataCentre returns the state of a data centre. isFresh is false if no majority confirmed that it is the newest.
+func (s *Server) DataCentre(name string) (dataCentre tabulator.DataCentre, isFresh bool) {
+	err := s.linearizableRead(func(ok bool) {
+		isFresh = ok
+		dataCentre = s.machine.DataCentre(name)
+	})
+	return dataCentre, isFresh && err == nil
+}
+
 // Propose proposes a command, through the leader, and waits until it is applied.
 func (s *Server) Propose(command tabulator.Command) ProposeReply { return s.propose(command) }
 
--- a/pkg/steward/control.go
+++ b/pkg/steward/control.go
@@ -129,7 +129,10 @@
 	if err != nil {
 		return err
 	}
-	return c.propose(tabulator.PutDocument{Version: version, Body: compressed})
+	startedAt := c.now()
+	result, err := c.submit(tabulator.PutDocument{Version: version, Body: compressed})
+	c.logOrder(fmt.Sprintf("routing document %d", version), result, err, startedAt)
+	return err
 }
 
 // Document returns the newest routing document, or version 0 if there is none. It returns ErrUnconfirmed if no majority of the
@@ -146,16 +149,16 @@
 	return document.Version, body, err
 }
 
-// TakeOutOfService stops new requests from being sent to leafs in a data centre. It returns an error if the change was rejected
-// or its outcome is unknown.
-func (c *Control) TakeOutOfService(dataCentre string) error {
-	return c.propose(tabulator.SetDataCentre{Name: dataCentre, State: tabulator.StateOut, Unconditional: true})
+// TakeOutOfService stops new requests from being sent to leafs in a data centre. It returns an error if the operator no longer
+// waits, the change was rejected or its outcome is unknown.
+func (c *Control) TakeOutOfService(dataCentre string, isWaiting func() bool) error {
+	return c.setDataCentre(dataCentre, tabulator.StateOut, isWaiting)
 }
 
-// ReturnToService allows new requests to leafs in a data centre again. It returns an error if the change was rejected or its
-// outcome is unknown.
-func (c *Control) ReturnToService(dataCentre string) error {
-	return c.propose(tabulator.SetDataCentre{Name: dataCentre, State: tabulator.StateIn, Unconditional: true})
+// ReturnToService allows new requests to leafs in a data centre again. It returns an error if the operator no longer waits, the
+// change was rejected or its outcome is unknown.
+func (c *Control) ReturnToService(dataCentre string, isWaiting func() bool) error {
+	return c.setDataCentre(dataCentre, tabulator.StateIn, isWaiting)
 }
 
 // Reload applies the seeds of changed settings. Other settings take effect after a restart.
@@ -164,23 +167,14 @@
 	c.log.Info("steward: settings reloaded", "seeds", settings.seedAddresses())
 }
 
-// propose submits a command of an operator and logs its result.
-func (c *Control) propose(command tabulator.Command) error {
-	startedAt := c.now()
-	result, err := c.submit(command)
-	c.log.Info("steward: order", "what", describeCommand(command), "acknowledged", err == nil, "error", fmt.Sprint(err),
+// logOrder logs the result of an operator's order.
+func (c *Control) logOrder(what string, result tabulator.Result, err error, startedAt time.Duration) {
+	c.log.Info("steward: order", "what", what, "acknowledged", err == nil, "error", fmt.Sprint(err),
 		"revision", result.Revision, "changed", err == nil && !result.Repeated, "took-ms", (c.now() - startedAt).Milliseconds())
-	return err
 }
 
-func describeCommand(command tabulator.Command) string {
-	switch typed := command.(type) {
-	case tabulator.PutDocument:
-		return fmt.Sprintf("routing document %d", typed.Version)
-	case tabulator.SetDataCentre:
-		return fmt.Sprintf("data centre %s %s", typed.Name, typed.State)
-	}
-	return fmt.Sprintf("%T", command)
+func describeDataCentre(name string, state tabulator.State) string {
+	return fmt.Sprintf("data centre %s %s", name, state)
 }
 
 // submit proposes a command to the replicated log and returns an error unless it was accepted.
--- a/pkg/steward/platform.go
+++ b/pkg/steward/platform.go
@@ -38,9 +38,8 @@
 	// the control instances confirmed that the document is the newest.
 	Document() (version uint64, body []byte, err error)
 	// TakeOutOfService stops new requests from being sent to leafs in a data centre. It returns an error if the change was
-	// rejected or its outcome is unknown.
-	TakeOutOfService(dataCentre string) error
-	// ReturnToService allows new requests to leafs in a data centre again. It returns an error if the change was rejected or
-	// its outcome is unknown.
-	ReturnToService(dataCentre string) error
+	// rejected, its outcome is unknown, or isWaiting reports that the operator no longer waits for the answer.
+	TakeOutOfService(dataCentre string, isWaiting func() bool) error
+	// ReturnToService allows new requests to leafs in a data centre again. It returns an error in the same cases.
+	ReturnToService(dataCentre string, isWaiting func() bool) error
 }
--- a/pkg/steward/steward_test.go
+++ b/pkg/steward/steward_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"lovagedeck/pkg/controller"
 	"lovagedeck/pkg/gatekeeper"
@@ -287,7 +288,7 @@
 	c := newTestCluster(t, 5)
 	c.start(0, 1, 2, 3, 4)
 	c.putDocument(0, 7, "seven")
-	if err := c.controls[1].TakeOutOfService("b"); err != nil {
+	if err := c.controls[1].TakeOutOfService("b", isWaiting); err != nil {
 		t.Fatal(err)
 	}
 	views := make(chan *tabulator.View, 100)
@@ -312,6 +313,46 @@
 	awaitValue(t, views, func(view *tabulator.View) bool { return view.Document().Version == 8 })
 }
 
+func isWaiting() bool { return true }
+
+// A copy of an order is held up after the state was read for it, and the operator sends it again, and then the opposite, to other
+// instances.
+func TestDelayedOrderDoesNotUndoNewerOne(t *testing.T) {
+	cases := []struct {
+		name string
+		// isStillWaiting is what the connection of the held up copy shows when it is looked at again.
+		isStillWaiting bool
+		wantErr        error
+	}{
+		{"the caller has left", false, ErrCallerLeft},
+		{"the caller seems to wait, but newer orders keep coming first", true, ErrOvertaken},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newTestCluster(t, 5)
+			c.start(0, 1, 2, 3, 4)
+			c.putDocument(0, 7, "seven")
+			order := func(execute func(string, func() bool) error) {
+				c.eventually("order", func() error { return execute("b", isWaiting) })
+			}
+			order(c.controls[1].TakeOutOfService)
+			looks := 0
+			err := c.controls[2].ReturnToService("b", func() bool {
+				looks++
+				order(c.controls[3].ReturnToService)
+				order(c.controls[4].TakeOutOfService)
+				return looks == 1 || tc.isStillWaiting
+			})
+			if !errors.Is(err, tc.wantErr) {
+				t.Errorf("got error %v for the held up order, want %v", err, tc.wantErr)
+			}
+			if got, isFresh := c.controls[0].server.DataCentre("b"); !isFresh || got.State != tabulator.StateOut {
+				t.Errorf("got state %q (fresh: %v) after the last order, want %q", got.State, isFresh, tabulator.StateOut)
+			}
+		})
+	}
+}
+
 // awaitValue receives values until one matches.
 func awaitValue[T any](t *testing.T, values chan T, matches func(T) bool) {
 	t.Helper()
--- a/pkg/tabulator/document.go
+++ b/pkg/tabulator/document.go
@@ -36,6 +36,14 @@
 	return Result{Verdict: VerdictAccepted, Revision: revision}
 }
 
+// DataCentre returns the state of a data centre, which is in service at revision 0 if no command has set it.
+func (m *Machine) DataCentre(name string) DataCentre {
+	if known, ok := m.state.DataCentres[name]; ok {
+		return known
+	}
+	return DataCentre{Name: name, State: StateIn}
+}
+
 // forceDataCentre sets the state of a data centre without checking the base revision. Setting the current state changes nothing.
 func (m *Machine) forceDataCentre(c SetDataCentre) Result {
 	if err := checkState(c.State); err != nil {
