Suspend the connections to leafs that are out of service

A request that had been placed before a data centre was taken out of service, and asked for a connection after those that waited had been failed, was sent whenever a connection became free, and so was one whose connection the leaf had refused. At a slow leaf that can be later than 5 s after the order.

The pool now holds the state: while it is suspended, nothing is sent, whatever its way there was. TestSuspendedPoolSendsNothing fails where only those that wait are failed, as before ("placed before, started after").

--- a/pkg/exchanger/exchanger_test.go
+++ b/pkg/exchanger/exchanger_test.go
@@ -447,3 +447,62 @@
 		t.Errorf("%d of %d requests failed after %d resets, want 0 failures after at least 1 reset", failed, requests, resets.Load())
 	}
 }
+
+// A data centre is taken out of service while a request waits for a connection, or was placed but not started yet. Neither may reach
+// the upstream.
+func TestSuspendedPoolSendsNothing(t *testing.T) {
+	cases := []struct {
+		name string
+		// isPlacedBefore is set if the request is started before the pool is suspended.
+		isPlacedBefore bool
+	}{
+		{"waits for a connection", true},
+		{"placed before, started after", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan bool)
+			var arrivals atomic.Int64
+			u := newUpstream(t, func(conn net.Conn, _ *http.Request, id string) {
+				arrivals.Add(1)
+				<-release
+				writeOK(conn, id, "abc")
+			})
+			pool := u.pool(1)
+			first, second := make(chan Result, 1), make(chan Result, 1)
+			pool.Start(newRequest("first"), func(result Result) { first <- result })
+			for arrivals.Load() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			start := func() { pool.Start(newRequest("second"), func(result Result) { second <- result }) }
+			if c.isPlacedBefore {
+				start()
+			}
+			pool.SetSuspended(true)
+			if !c.isPlacedBefore {
+				// The requests that waited have been failed by then.
+				time.Sleep(50 * time.Millisecond)
+				start()
+			}
+			select {
+			case result := <-second:
+				if result.MaybeSent {
+					t.Error("the second request may have been sent, want it not sent")
+				}
+			case <-time.After(2 * time.Second):
+				t.Error("the second request did not end, want it to fail at once")
+			}
+			close(release)
+			if result := <-first; result.Status() != http.StatusOK {
+				t.Errorf("got %+v for the request in progress, want status 200", result)
+			}
+			if got := arrivals.Load(); got != 1 {
+				t.Errorf("got %d requests at the upstream, want 1", got)
+			}
+			pool.SetSuspended(false)
+			if result := runExchange(t, pool, newRequest("third")); result.Status() != http.StatusOK {
+				t.Errorf("got %+v after the end of the suspension, want status 200", result)
+			}
+		})
+	}
+}
--- a/pkg/exchanger/pool.go
+++ b/pkg/exchanger/pool.go
@@ -54,7 +54,9 @@
 		dialing           int
 		waiting           []*Exchange
 		closed            bool
-		gate              Gate
+		// isSuspended is set while no request may be sent.
+		isSuspended bool
+		gate        Gate
 		// isRateLimited is set while requests need a permit of gate.
 		isRateLimited bool
 	}
@@ -139,7 +141,7 @@
 		p.gate.Return()
 		return
 	}
-	if p.closed {
+	if p.closed || p.isSuspended {
 		p.mu.Unlock()
 		go exchange.finish(Result{Err: ErrPoolClosed})
 		return
@@ -183,6 +185,17 @@
 	}
 }
 
+// SetSuspended sets whether the upstream must get no new requests. Those that wait for a connection or a permit then fail.
+func (p *Pool) SetSuspended(isSuspended bool) {
+	p.mu.Lock()
+	hasStarted := isSuspended && !p.isSuspended
+	p.isSuspended = isSuspended
+	p.mu.Unlock()
+	if hasStarted {
+		go p.FailWaiting()
+	}
+}
+
 // Close closes idle connections at once and the others when their exchange ends. It fails the requests that wait for a
 // connection.
 func (p *Pool) Close() {
@@ -296,7 +309,7 @@
 // was written, or if the upstream probably refused the connection at its connection limit and the request is idempotent.
 func (p *Pool) requeue(exchange *Exchange) bool {
 	p.mu.Lock()
-	if exchange.hasEnded || exchange.requeues >= maxRequeues || p.closed {
+	if exchange.hasEnded || exchange.requeues >= maxRequeues || p.closed || p.isSuspended {
 		p.mu.Unlock()
 		return false
 	}
--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -129,11 +129,7 @@
 		f.log.Info("gatekeeper: number of instances changed", "instances", f.instanceCount, "rank", f.instanceSet.Rank, "revision", view.Revision())
 	}
 	f.allocate()
-	pools := f.poolsOutOfService()
 	f.mu.Unlock()
-	for _, pool := range pools {
-		pool.FailWaiting()
-	}
 }
 
 // setTable applies a new routing table.
--- a/pkg/gatekeeper/fleet_connections.go
+++ b/pkg/gatekeeper/fleet_connections.go
@@ -36,10 +36,12 @@
 	prewarmedConnections = 1
 )
 
-// allocate divides the retry budget of each service and the connections of each leaf among the instances.
+// allocate divides the retry budget of each service and the connections of each leaf among the instances, and suspends the pools
+// of leafs that are out of service.
 func (f *fleet) allocate() {
 	f.allocateBudget()
 	f.updateAssignment()
+	f.suspendPools()
 	for _, s := range f.services {
 		if f.allocateGathered(s) {
 			continue
@@ -128,12 +130,9 @@
 	return pools
 }
 
-func (f *fleet) poolsOutOfService() []*exchanger.Pool {
-	var pools []*exchanger.Pool
+// suspendPools lets the pools of data centres that are out of service send nothing, and the others send again.
+func (f *fleet) suspendPools() {
 	for _, u := range f.leafs {
-		if f.outOfService[u.leaf.Fields().DataCentre] {
-			pools = append(pools, u.pool)
-		}
+		u.pool.SetSuspended(f.outOfService[u.leaf.Fields().DataCentre])
 	}
-	return pools
 }
