Soak: leafs that state rate limits, and operators whose orders overlap

Leafs state rates from 0 to 10 a second, also two at once or invalid ones; the checker judges them by the users' rule, with the excuses that it gives (restarts, pauses, links of the leaf). Operators give orders for two data centres at the same time, lose answers, send again to other instances, and pause one while a copy waits in its socket. -entries runs more entry instances over three data centres.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -37,7 +37,9 @@
 		outOfServiceSince map[string]time.Time
 		acknowledged      []acknowledgement
 		// newestInUse is keyed by the name of a run of an instance.
-		newestInUse  map[string]observedVersion
+		newestInUse map[string]observedVersion
+		// limits are the rate limits that leafs state, keyed by leaf ID.
+		limits       map[string]*judgedLimit
 		violations   []string
 		servedCount  int
 		partialCount int
@@ -51,6 +53,8 @@
 		atMostOnce     bool
 		// services are the ones that may execute the request.
 		services []string
+		// entry is the instance that the request is sent to.
+		entry *process
 	}
 
 	acknowledgement struct {
@@ -68,6 +72,7 @@
 	return &checker{
 		startedAt: time.Now(), executions: map[string]int{}, requests: map[string]sentRequest{}, refusedIDs: map[string]bool{},
 		drainingSince: map[string]time.Time{}, outOfServiceSince: map[string]time.Time{}, newestInUse: map[string]observedVersion{},
+		limits: map[string]*judgedLimit{},
 	}
 }
 
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -18,7 +18,6 @@
 
 const (
 	controlCount = 5
-	entryCount   = 3
 	// gracePeriod is the time between SIGTERM and SIGKILL.
 	gracePeriod = 4 * time.Second
 	// restartPause is the time between the exit of a process and its next start.
@@ -74,7 +73,7 @@
 		t.Fatal(err)
 	}
 	d.linkPort = freePort(t, d.hostAddress(0))
-	for i := range controlCount + entryCount {
+	for i := range controlCount + *entryCount {
 		d.processes = append(d.processes, d.newProcess(i))
 	}
 	for _, p := range d.processes {
@@ -136,6 +135,9 @@
 		listen["front"], listen["readiness"] = p.frontAddress, p.readinessAddress
 	}
 	zone := string("abc"[len(p.name)*7%3])
+	if p.subcommand == "entry" && *entryCount > defaultEntryCount {
+		zone = string("abc"[int(p.name[len(p.name)-1]-'0')%3])
+	}
 	content, err := json.Marshal(map[string]any{
 		"nodeName": p.name, "ip": p.host, "zone": zone, "listen": listen, "internalPortRange": []int{d.linkPort, 0},
 		"seeds": d.seeds, "bootstrap": bootstrap, "dataDir": dataDir, "faultTolerance": map[string]int{"machines": 2},
--- a/soak/leafs_test.go
+++ b/soak/leafs_test.go
@@ -33,9 +33,11 @@
 		slots   chan bool
 		mu      sync.Mutex
 		// fault is the kind of fault that the leaf simulates, or empty.
-		fault      string
-		isDraining bool
-		warmUpEnd  time.Time
+		fault string
+		// statedRates are the rate limits that the leaf states in its responses, none if empty.
+		statedRates []string
+		isDraining  bool
+		warmUpEnd   time.Time
 	}
 
 	// fleet holds the simulated leafs and serves the platform's list of them.
@@ -178,19 +180,22 @@
 	id := r.Header.Get("X-Lovagedeck-Request-Id")
 	w.Header().Set("X-Lovagedeck-Request-Id", id)
 	if expected := r.Header.Get("X-Lovagedeck-Expect-Instance"); expected != "" && expected != l.id {
-		l.reject(w, http.StatusMisdirectedRequest)
+		reject(w, http.StatusMisdirectedRequest)
 		return
 	}
+	l.checker.checkArrival(l.id, id)
 	select {
 	case l.slots <- true:
 		defer func() { <-l.slots }()
 	case <-time.After(20 * leafServiceTime):
-		l.reject(w, http.StatusServiceUnavailable)
+		l.stateRates(w, id)
+		reject(w, http.StatusServiceUnavailable)
 		return
 	}
 	fault := l.currentFault()
 	if fault == "shed" {
-		l.reject(w, http.StatusServiceUnavailable)
+		l.stateRates(w, id)
+		reject(w, http.StatusServiceUnavailable)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -201,7 +206,28 @@
 	l.respond(w, r, id, fault)
 }
 
-func (l *leaf) reject(w http.ResponseWriter, status int) {
+// setRates makes the leaf state rate limits. The checker judges the lowest one, unless it is negative.
+func (l *leaf) setRates(judged float64, rates ...string) {
+	l.mu.Lock()
+	l.statedRates = rates
+	l.mu.Unlock()
+	l.checker.setRateLimit(l.id, judged)
+}
+
+// stateRates adds the rate limits to a response.
+func (l *leaf) stateRates(w http.ResponseWriter, requestID string) {
+	l.mu.Lock()
+	rates := l.statedRates
+	l.mu.Unlock()
+	for _, rate := range rates {
+		w.Header().Add("Server-Limit", rate)
+	}
+	if len(rates) > 0 {
+		l.checker.recordStatedRate(l.id, requestID)
+	}
+}
+
+func reject(w http.ResponseWriter, status int) {
 	w.Header().Set("X-Lovagedeck-Not-Executed", "1")
 	w.WriteHeader(status)
 }
@@ -225,6 +251,7 @@
 		writeEndlessly(w)
 		return
 	}
+	l.stateRates(w, id)
 	stamp := l.stamp(id)
 	w.Header().Set("X-Lovagedeck-Server-Stamp", stamp)
 	if fault == "fail" {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,12 +27,15 @@
 	// firstSubnet is the lowest third octet of the loopback addresses of a deployment; its successors are used in turn. The
 	// listeners behind the link proxies use the octet that is 100 higher.
 	firstSubnet = 60
+	// defaultEntryCount entry instances are in one data centre. More are spread over three.
+	defaultEntryCount = 3
 )
 
 var (
 	seedCount        = flag.Int("seeds", 1, "number of seeds to run")
 	firstSeed        = flag.Uint64("first", 1, "first seed")
 	faultDuration    = flag.Duration("span", 6*time.Second, "time during which faults are injected in each run")
+	entryCount       = flag.Int("entries", defaultEntryCount, "number of entry instances")
 	failedLogsFolder = flag.String("logs", "", "folder for the logs of failed runs")
 
 	nextSubnet atomic.Int64
@@ -88,9 +91,10 @@
 		t.Fatal(err)
 	}
 	tr.start()
-	f := &faultInjector{deployment: d, traffic: tr, random: random, kindCount: kindCount, wipedAt: map[*process]time.Time{}}
+	f := &faultInjector{deployment: d, traffic: tr, random: random, kindCount: kindCount, wipedAt: map[*process]time.Time{}, orders: newZoneLocks()}
 	f.run(*faultDuration)
 	time.Sleep(settleTime)
+	f.orders.awaitAll()
 	if err := d.awaitReady(startTimeout); err != nil {
 		t.Error(err)
 	}
@@ -149,6 +153,7 @@
 	injected         []string
 	wipedAt          map[*process]time.Time
 	outOfServiceZone string
+	orders           zoneLocks
 }
 
 func (f *faultInjector) run(duration time.Duration) {
@@ -180,6 +185,9 @@
 		// New kinds are added at the end, so that the seeds of regressionSeeds still draw the same faults.
 		{"read during partition", f.readDuringPartition},
 		{"endless leaf bodies", f.makeLeafsEndless},
+		{"rate limits", f.limitLeafs},
+		{"invalid rate limits", f.stateInvalidRates},
+		{"data centre orders", f.orderDataCentres},
 	}
 	if f.kindCount > 0 {
 		kinds = kinds[:f.kindCount]
@@ -208,7 +216,7 @@
 }
 
 func (f *faultInjector) randomEntry() *process {
-	return f.deployment.entries()[f.random.IntN(entryCount)]
+	return f.deployment.entries()[f.random.IntN(*entryCount)]
 }
 
 func (f *faultInjector) randomControl() *process {
@@ -389,21 +397,32 @@
 		return
 	}
 	l.proxy.setMode([]proxyMode{modeBlock, modeBlockRequests, modeBlockResponses, modeDelay}[f.random.IntN(4)])
-	f.schedule(f.shortDuration(), func() { l.proxy.setMode(modeForward) })
+	f.schedule(f.shortDuration(), func() {
+		l.proxy.setMode(modeForward)
+		f.deployment.checker.restartRateLimit(l.id)
+	})
 }
 
 // toggleDataCentre takes a data centre out of service, or puts the one that is out of service back.
 func (f *faultInjector) toggleDataCentre() {
 	p := f.randomControl()
-	if f.outOfServiceZone != "" {
-		if f.traffic.post(p, "/-/Evacuations.End/"+f.outOfServiceZone, "") {
-			f.deployment.checker.recordOutOfService(f.outOfServiceZone, false)
-			f.outOfServiceZone = ""
-		}
+	zone := f.outOfServiceZone
+	if zone == "" {
+		zone = string("abc"[f.random.IntN(3)])
+	}
+	if !f.orders.tryLock(zone) {
+		return
+	}
+	defer f.orders.unlock(zone)
+	isOut := f.outOfServiceZone == ""
+	if !isOut {
+		f.deployment.checker.recordOutOfService(zone, false)
+	}
+	if !f.traffic.post(p, orderPath(isOut)+zone, "") {
 		return
 	}
-	zone := string("abc"[f.random.IntN(3)])
-	if f.traffic.post(p, "/-/Evacuations.Start/"+zone, "") {
+	f.outOfServiceZone = ""
+	if isOut {
 		f.deployment.checker.recordOutOfService(zone, true)
 		f.outOfServiceZone = zone
 	}
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -105,7 +105,7 @@
 	if shards == nil {
 		services = []string{strings.Trim(path, "/")}
 	}
-	sent := sentRequest{method: method, target: target, body: body, atMostOnce: atMostOnce, services: services}
+	sent := sentRequest{method: method, target: target, body: body, atMostOnce: atMostOnce, services: services, entry: p}
 	tr.deployment.checker.recordRequest(id, sent)
 	request, err := http.NewRequest(method, "http://"+p.frontAddress+target, bytes.NewReader(body))
 	if err != nil {
@@ -149,7 +149,7 @@
 		}
 		request.Host = fmt.Sprintf("v%d.example", version)
 		id := tr.newID()
-		tr.deployment.checker.recordRequest(id, sentRequest{method: "GET", target: "/probe/", services: []string{"safe"}})
+		tr.deployment.checker.recordRequest(id, sentRequest{method: "GET", target: "/probe/", services: []string{"safe"}, entry: p})
 		request.Header.Set("X-Lovagedeck-Request-Id", id)
 		request.Header.Set("X-Lovagedeck-Deadline-Ms", "300")
 		response, err := client.Do(request)
