--- a/soak/orders_test.go
+++ b/soak/orders_test.go
@@ -49,11 +49,11 @@
 	random := rand.New(rand.NewPCG(f.random.Uint64(), 1))
 	go func() {
 		defer f.orders.unlock(zone)
-		for range 1 + random.IntN(2) {
+		for range 2 {
 			f.giveOrder(zone, true, random)
-			time.Sleep(time.Duration(random.Int64N(int64(outOfServiceLimit + 3*time.Second))))
+			time.Sleep(outOfServiceLimit/2 + time.Duration(random.Int64N(int64(outOfServiceLimit))))
 			f.giveOrder(zone, false, random)
-			time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+			time.Sleep(time.Duration(random.Int64N(int64(300 * time.Millisecond))))
 		}
 	}()
 }
@@ -68,7 +68,7 @@
 	if random.IntN(2) == 0 {
 		paused := controls[random.IntN(controlCount)]
 		paused.signal(syscall.SIGSTOP)
-		f.schedule(time.Second+time.Duration(random.Int64N(int64(2*time.Second))), func() { paused.signal(syscall.SIGCONT) })
+		f.schedule(time.Second+time.Duration(random.Int64N(int64(3*time.Second))), func() { paused.signal(syscall.SIGCONT) })
 		var copies sync.WaitGroup
 		for range 2 {
 			copies.Go(func() { f.traffic.post(paused, orderPath(isOut)+zone, "") })
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -192,6 +192,9 @@
 	if f.kindCount > 0 {
 		kinds = kinds[:f.kindCount]
 	}
+	if f.kindCount == 0 && f.random.IntN(2) == 0 {
+		f.orderDataCentres()
+	}
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		kind := kinds[f.random.IntN(len(kinds))]
 		f.injected = append(f.injected, kind.name)
