--- a/pkg/gatekeeper/counters.go
+++ b/pkg/gatekeeper/counters.go
@@ -21,6 +21,7 @@
 	callersDisconnected *metrics.Counter
 	deniedNoLeaf        *metrics.Counter
 	deniedOverBudget    *metrics.Counter
+	deniedRateLimit     *metrics.Counter
 	slices              *metrics.Counter
 	slicesTakenBack     *metrics.Counter
 }
@@ -40,6 +41,7 @@
 		slices:              set.NewCounter("gatekeeper_slices_gathered_total"),
 		slicesTakenBack:     set.NewCounter("gatekeeper_slices_taken_back_total"),
 		deniedOverBudget:    set.NewCounter(`gatekeeper_attempts_denied_total{reason="budget"}`),
+		deniedRateLimit:     set.NewCounter(`gatekeeper_attempts_denied_total{reason="rate limit"}`),
 	}
 }
 
@@ -50,6 +52,8 @@
 		c.deniedNoLeaf.Inc()
 	case denialBudget:
 		c.deniedOverBudget.Inc()
+	case denialRateLimit:
+		c.deniedRateLimit.Inc()
 	}
 }
 
--- a/pkg/gossiper/gossiper_test.go
+++ b/pkg/gossiper/gossiper_test.go
@@ -110,3 +110,24 @@
 		t.Errorf("datagram read later: got %d calls of OnObservations, want 1", len(received))
 	}
 }
+
+// A rate limit holds for the instances of all data centres together, unlike the latency of a leaf.
+func TestRateLimitReachesOtherDataCentres(t *testing.T) {
+	secret := linker.NewSecret("test", []byte("key"))
+	first, _ := newGossiper(t, secret)
+	remote, received := newGossiper(t, secret)
+	first.SetPeers(nil, []string{remote.address()})
+	first.Publish(spreader.Observation{Leaf: "i-1", Slowness: 4.5, IsSlow: true, SeenAt: first.config.Now()})
+	first.Publish(spreader.NewRateLimit("i-1", true, 2.5, first.config.Now()))
+	select {
+	case got := <-received:
+		if len(got) != 1 {
+			t.Fatalf("got %+v, want the rate limit only", got)
+		}
+		if leaf, isRateLimit := got[0].RateLimitedLeaf(); leaf != "i-1" || !isRateLimit || !got[0].IsRateLimited || got[0].RatePerSecond != 2.5 {
+			t.Errorf("got %+v, want a rate limit of 2.5 a second of leaf i-1", got[0])
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("got no observation within 5 s")
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,18 +24,18 @@
 	catchUpTime = 4 * time.Second
 	// startTimeout limits the first start of a deployment on a busy machine.
 	startTimeout = 30 * time.Second
-	// firstSubnet is the lowest third octet of the loopback addresses of a deployment; its successors are used in turn. The
-	// listeners behind the link proxies use the octet that is 100 higher.
-	firstSubnet = 60
 	// defaultEntryCount entry instances are in one data centre. More are spread over three.
 	defaultEntryCount = 3
 )
 
 var (
-	seedCount        = flag.Int("seeds", 1, "number of seeds to run")
-	firstSeed        = flag.Uint64("first", 1, "first seed")
-	faultDuration    = flag.Duration("span", 6*time.Second, "time during which faults are injected in each run")
-	entryCount       = flag.Int("entries", defaultEntryCount, "number of entry instances")
+	seedCount     = flag.Int("seeds", 1, "number of seeds to run")
+	firstSeed     = flag.Uint64("first", 1, "first seed")
+	faultDuration = flag.Duration("span", 6*time.Second, "time during which faults are injected in each run")
+	entryCount    = flag.Int("entries", defaultEntryCount, "number of entry instances")
+	// firstSubnet is the lowest third octet of the loopback addresses of a deployment; its successors are used in turn. The
+	// listeners behind the link proxies use the octet that is 100 higher.
+	firstSubnet      = flag.Int("subnet", 60, "third octet of the first loopback addresses, at most 100; runs side by side need 40 each")
 	failedLogsFolder = flag.String("logs", "", "folder for the logs of failed runs")
 
 	nextSubnet atomic.Int64
@@ -75,7 +75,7 @@
 // runSeed runs one seed with faults of the first kindCount kinds, or of all kinds if it is 0.
 func runSeed(t *testing.T, binary string, seed uint64, kindCount int) {
 	c := newChecker()
-	d := newDeployment(t, binary, firstSubnet+int(nextSubnet.Add(1)%40), c)
+	d := newDeployment(t, binary, *firstSubnet+int(nextSubnet.Add(1)%40), c)
 	defer keepLogsOfFailedRun(t, d, seed)
 	defer d.close()
 	d.addLeafs(append([]string{"once", "safe"}, shardNames...))
--- a/soak/stale_order_test.go
+++ b/soak/stale_order_test.go
@@ -13,7 +13,7 @@
 func TestStaleOrderDoesNotReturnDataCentreToService(t *testing.T) {
 	const zone, pausedCount = "b", 2
 	c := newChecker()
-	d := newDeployment(t, buildBinary(t), firstSubnet+int(nextSubnet.Add(1)%40), c)
+	d := newDeployment(t, buildBinary(t), *firstSubnet+int(nextSubnet.Add(1)%40), c)
 	defer d.close()
 	d.addLeafs(append([]string{"once", "safe"}, shardNames...))
 	d.start()
