A query does not wait for an allocator that does not answer in time

It now waits for the time for which a permit may be reserved, and 20 ms. Late permits go to the next request. The soak's start of a deployment stands once.

--- a/pkg/gatekeeper/scatter_permits.go
+++ b/pkg/gatekeeper/scatter_permits.go
@@ -7,11 +7,24 @@
 import (
 	"time"
 
+	"lovagedeck/pkg/exchanger"
 	"lovagedeck/pkg/placer"
 )
 
-// reservationRounds limits how many leafs of a shard are asked for a permit before the query is sent.
-const reservationRounds = 2
+const (
+	// reservationRounds limits how many leafs of a shard are asked for a permit before the query is sent.
+	reservationRounds = 2
+	// allocatorTimeout is how long a query waits for the answer of an allocator, beyond the time for which a permit may be
+	// reserved. It covers a round trip between data centres and a scheduling delay at both ends.
+	allocatorTimeout = 20 * time.Millisecond
+)
+
+// permitAnswer is the answer to a request for a permit for a shard.
+type permitAnswer struct {
+	shard       int
+	pool        *exchanger.Pool
+	isPermitted bool
+}
 
 // canBePermitted reports whether the rate limits of the leafs, as far as they are known, leave room for an answer.
 func (q *query) canBePermitted() bool {
@@ -51,26 +64,41 @@
 	return false
 }
 
-// acquireAll requests the permits for the attempts of the given shards at the same time and waits for them.
+// acquireAll requests the permits for the attempts of the given shards at the same time and waits for them, but not for an
+// allocator that does not answer in time.
 func (q *query) acquireAll(placed []*attempt, shards []int) map[int]bool {
-	type answer struct {
-		shard       int
-		isPermitted bool
-	}
-	answers := make(chan answer, len(shards))
+	answers := make(chan permitAnswer, len(shards))
+	permitted := make(map[int]bool, len(shards))
 	for _, shard := range shards {
-		placed[shard].upstream.pool.AcquirePermit(q.in.request.MaxPermitWait, func(isPermitted bool) {
-			answers <- answer{shard: shard, isPermitted: isPermitted}
+		permitted[shard] = false
+		pool := placed[shard].upstream.pool
+		pool.AcquirePermit(q.in.request.MaxPermitWait, func(isPermitted bool) {
+			answers <- permitAnswer{shard: shard, pool: pool, isPermitted: isPermitted}
 		})
 	}
-	permitted := make(map[int]bool, len(shards))
-	for range shards {
-		a := <-answers
-		permitted[a.shard] = a.isPermitted
+	timeout := time.NewTimer(q.in.request.MaxPermitWait + allocatorTimeout)
+	defer timeout.Stop()
+	for received := range shards {
+		select {
+		case a := <-answers:
+			permitted[a.shard] = a.isPermitted
+		case <-timeout.C:
+			go returnLatePermits(answers, len(shards)-received)
+			return permitted
+		}
 	}
 	return permitted
 }
 
+// returnLatePermits gives back the permits in the given number of answers.
+func returnLatePermits(answers <-chan permitAnswer, count int) {
+	for range count {
+		if a := <-answers; a.isPermitted {
+			a.pool.ReturnPermit()
+		}
+	}
+}
+
 // dropUnpermitted ends an attempt that was not sent because it got no permit.
 func (q *query) dropUnpermitted(a *attempt) {
 	q.gate.fleet.finish(a, placer.NotPermitted, 0, false)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -78,19 +78,7 @@
 	d := newDeployment(t, binary, *firstSubnet+int(nextSubnet.Add(1)%40), c)
 	defer keepLogsOfFailedRun(t, d, seed)
 	defer d.close()
-	d.addLeafs(append([]string{"once", "safe"}, shardNames...))
-	d.start()
-	tr := newTraffic(d, seed)
-	random := newRandom(seed)
-	for startedAt := time.Now(); !tr.putDocument(random); {
-		if time.Since(startedAt) > startTimeout {
-			t.Fatal("the first document was not acknowledged before the start timeout")
-		}
-	}
-	if err := d.awaitReady(startTimeout); err != nil {
-		t.Fatal(err)
-	}
-	tr.start()
+	tr, random := startTraffic(t, d, seed)
 	f := &faultInjector{deployment: d, traffic: tr, random: random, kindCount: kindCount, wipedAt: map[*process]time.Time{}, orders: newZoneLocks()}
 	f.run(*faultDuration)
 	time.Sleep(settleTime)
@@ -112,7 +100,24 @@
 		seed, c.servedCount, c.partialCount, c.refusedCount, c.failedCount, len(c.acknowledged), len(f.injected), f.injected)
 }
 
-func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 7)) }
+// startTraffic starts the leafs and the instances, and once these serve the first document, the callers and the operator.
+func startTraffic(t *testing.T, d *deployment, seed uint64) (*traffic, *rand.Rand) {
+	t.Helper()
+	d.addLeafs(append([]string{"once", "safe"}, shardNames...))
+	d.start()
+	tr := newTraffic(d, seed)
+	random := rand.New(rand.NewPCG(seed, 7))
+	for startedAt := time.Now(); !tr.putDocument(random); {
+		if time.Since(startedAt) > startTimeout {
+			t.Fatal("the first document was not acknowledged before the start timeout")
+		}
+	}
+	if err := d.awaitReady(startTimeout); err != nil {
+		t.Fatal(err)
+	}
+	tr.start()
+	return tr, random
+}
 
 // checkFinalDocument reads the newest acknowledged document back from every control instance.
 func checkFinalDocument(t *testing.T, d *deployment, tr *traffic) {
--- a/soak/stale_order_test.go
+++ b/soak/stale_order_test.go
@@ -15,19 +15,7 @@
 	c := newChecker()
 	d := newDeployment(t, buildBinary(t), *firstSubnet+int(nextSubnet.Add(1)%40), c)
 	defer d.close()
-	d.addLeafs(append([]string{"once", "safe"}, shardNames...))
-	d.start()
-	tr := newTraffic(d, 1)
-	random := newRandom(1)
-	for startedAt := time.Now(); !tr.putDocument(random); {
-		if time.Since(startedAt) > startTimeout {
-			t.Fatal("the first document was not acknowledged before the start timeout")
-		}
-	}
-	if err := d.awaitReady(startTimeout); err != nil {
-		t.Fatal(err)
-	}
-	tr.start()
+	tr, random := startTraffic(t, d, 1)
 	for round := range 2 {
 		paused, others := d.controls()[:pausedCount], d.controls()[pausedCount:]
 		if round > 0 {
