Learn rate limits from the responses to abandoned requests

By the logs no instance ever knew of the rate: all its requests were hedges, and the first leaf always answered before it. Cause: what a response states was read where its result is used, and the result of an abandoned request is dropped. Class: a statement about the leaf hung on the use of one answer. The connection now passes on what each response states, whoever still waits for it.

TestRateIsLearnedFromAbandonedRequests failed before.

--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -229,10 +229,8 @@
 		c.pool.onConnClosed(c)
 		c.close()
 	}
-	exchange.finish(Result{
-		Response: response, MaybeSent: true, RateLimit: rateLimitOf(&response.Header, c.pool.config.Headers.RateLimit),
-		reserved: reserved, quota: c.pool.quotaFor(exchange.request),
-	})
+	c.pool.reportStatement(exchange, response)
+	exchange.finish(Result{Response: response, MaybeSent: true, reserved: reserved, quota: c.pool.quotaFor(exchange.request)})
 	return isReusable
 }
 
--- a/pkg/exchanger/exchange.go
+++ b/pkg/exchanger/exchange.go
@@ -81,8 +81,6 @@
 		// the exchange.
 		QueueTime    time.Duration
 		ResponseTime time.Duration
-		// RateLimit is the rate that the response states.
-		RateLimit RateLimit
 		// reserved is the number of bytes reserved from quota for the body.
 		reserved int64
 		quota    *Quota
--- a/pkg/exchanger/permit.go
+++ b/pkg/exchanger/permit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // permitValidity is the time from the permit to the sending of the request.
@@ -23,6 +24,19 @@
 		Acquire(maxWait time.Duration, done func(isPermitted bool))
 		// Return gives back a permit that was not used.
 		Return()
+		// OnStatement is called with what a response states about the rate limit, also if its request was abandoned. It is not
+		// called while the upstream states no limit and none is known.
+		OnStatement(statement Statement)
+	}
+
+	// Statement is what the response to one request states about the rate limit of the upstream.
+	Statement struct {
+		RateLimit RateLimit
+		RequestID string
+		// ResponseTime is the time from sending the request to its response.
+		ResponseTime time.Duration
+		// HasRun is set if the upstream executed the request.
+		HasRun bool
 	}
 
 	// openGate permits every request.
@@ -33,6 +47,8 @@
 
 func (openGate) Return() {}
 
+func (openGate) OnStatement(Statement) {}
+
 // SetGate sets the gate of the upstream. It must be called before the first request.
 func (p *Pool) SetGate(gate Gate) { p.gate = gate }
 
@@ -59,6 +75,22 @@
 	}
 }
 
+// reportStatement tells the gate what a response states about the rate limit. The response of another upstream that has the
+// address now says nothing.
+func (p *Pool) reportStatement(exchange *Exchange, response *fasthttp.Response) {
+	limit := rateLimitOf(&response.Header, p.config.Headers.RateLimit)
+	p.mu.Lock()
+	isRateLimited := p.isRateLimited
+	p.mu.Unlock()
+	if response.StatusCode() == fasthttp.StatusMisdirectedRequest || !limit.IsNamed && limit.Problem == "" && !isRateLimited {
+		return
+	}
+	p.gate.OnStatement(Statement{
+		RateLimit: limit, RequestID: exchange.request.ID, ResponseTime: time.Since(exchange.sentAt),
+		HasRun: len(response.Header.Peek(p.config.Headers.NotExecuted)) == 0,
+	})
+}
+
 // acquire requests a permit for an exchange, and starts or fails it.
 func (p *Pool) acquire(exchange *Exchange) {
 	p.gate.Acquire(exchange.request.MaxPermitWait, func(isPermitted bool) {
--- a/pkg/exchanger/permit_test.go
+++ b/pkg/exchanger/permit_test.go
@@ -25,6 +25,8 @@
 
 func (g *testGate) Return() { g.returned.Add(1) }
 
+func (*testGate) OnStatement(Statement) {}
+
 // A request that waits behind a hung one when the upstream states a rate must learn at once that it gets no permit.
 func TestRateLimitAppliesToWaitingRequests(t *testing.T) {
 	release := make(chan bool)
--- a/pkg/gatekeeper/fleet_rate_limits.go
+++ b/pkg/gatekeeper/fleet_rate_limits.go
@@ -10,7 +10,6 @@
 
 	"lovagedeck/pkg/exchanger"
 	"lovagedeck/pkg/limiter"
-	"lovagedeck/pkg/placer"
 	"lovagedeck/pkg/router"
 	"lovagedeck/pkg/spreader"
 )
@@ -99,21 +98,18 @@
 	}
 }
 
-// recordRateLimit records what a response states about the rate limit of its leaf. Only an executed request shows the end of a
-// limit, and a response of another leaf shows nothing.
-func (f *fleet) recordRateLimit(a *attempt, outcome placer.Outcome, result exchanger.Result, requestID string) {
+// OnStatement records what a response states about the rate limit of its leaf. Only an executed request shows the end of a limit.
+func (g leafGate) OnStatement(statement exchanger.Statement) {
+	f, u := g.fleet, g.upstream
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if result.Response == nil || outcome == placer.Replaced {
-		return
-	}
-	stated, u, now := result.RateLimit, a.upstream, f.now()
-	f.logRateProblem(u, stated.Problem, requestID)
-	if !stated.IsNamed && (stated.Problem != "" || outcome == placer.Refused) {
+	stated, now := statement.RateLimit, f.now()
+	f.logRateProblem(u, stated.Problem, statement.RequestID)
+	if !stated.IsNamed && (stated.Problem != "" || !statement.HasRun) {
 		return
 	}
-	change := u.leaf.OnRateLimit(stated.IsNamed, stated.PerSecond, now-result.ResponseTime, now)
-	f.onRateLimitChange(u, change, requestID, now)
+	change := u.leaf.OnRateLimit(stated.IsNamed, stated.PerSecond, now-statement.ResponseTime, now)
+	f.onRateLimitChange(u, change, statement.RequestID, now)
 	if change == limiter.Unchanged {
 		return
 	}
--- a/pkg/gatekeeper/plain.go
+++ b/pkg/gatekeeper/plain.go
@@ -147,7 +147,6 @@
 	g := f.gate
 	outcome := g.outcomeOf(end.result)
 	g.logAttemptEnd(f.in, end.attempt, outcome, end.result)
-	g.fleet.recordRateLimit(end.attempt, outcome, end.result, f.in.id)
 	g.fleet.finish(end.attempt, outcome, end.result.ResponseTime, end.result.MaybeSent)
 	f.attempts = removeAttempt(f.attempts, end.attempt)
 	f.hasReachedLeaf = f.hasReachedLeaf || end.result.MaybeSent
--- a/pkg/gatekeeper/rate_limit_test.go
+++ b/pkg/gatekeeper/rate_limit_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 
+	"lovagedeck/pkg/exchanger"
 	"lovagedeck/pkg/linker"
 	"lovagedeck/pkg/permitter"
 	"lovagedeck/pkg/router"
@@ -358,3 +359,35 @@
 		})
 	}
 }
+
+// Hedges reach a leaf that states a rate, and the first leaf always answers before it. Nobody waits for the responses of the leaf, but
+// they are the only statements of its rate.
+func TestRateIsLearnedFromAbandonedRequests(t *testing.T) {
+	tier := newTier(t, "card")
+	leaf := tier.leafs[0]
+	tier.setRoute(plainRoute())
+	u := tier.gate.fleet.leafs[leaf.id]
+	head := "GET /p/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n"
+	leaf.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		w.Header().Set("Rate-Limit", "1")
+	})
+	sent := u.pool.Start(&exchanger.Request{ID: "r-1", Head: []byte(head), Deadline: time.Now().Add(time.Second)}, func(exchanger.Result) {
+		t.Error("the abandoned request has a result, want none")
+	})
+	for !sent.MaybeSent() {
+		time.Sleep(time.Millisecond)
+	}
+	sent.Abandon(false)
+	for startedAt := time.Now(); ; time.Sleep(time.Millisecond) {
+		tier.gate.fleet.mu.Lock()
+		limit := u.leaf.RateLimit()
+		tier.gate.fleet.mu.Unlock()
+		if limit.IsLimited() {
+			return
+		}
+		if time.Since(startedAt) > time.Second {
+			t.Fatal("the rate in the response to an abandoned request is not known after 1 s")
+		}
+	}
+}
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -170,7 +170,6 @@
 		}
 	}
 	q.gate.logAttemptEnd(q.in, c.attempt, outcome, c.result)
-	q.gate.fleet.recordRateLimit(c.attempt, outcome, c.result, q.in.id)
 	q.gate.fleet.finish(c.attempt, outcome, c.result.ResponseTime, c.result.MaybeSent)
 	q.inFlight = removeAttempt(q.inFlight, c.attempt)
 	if outcome == placer.Answered {
