--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -16,6 +16,8 @@
 	drainLimit = 4 * time.Second
 	// outOfServiceLimit is the time after which a data centre that was taken out of service must get no more requests.
 	outOfServiceLimit = 6 * time.Second
+	// lostCoreAllowance is the longest time by which the loss of most control instances extends outOfServiceLimit.
+	lostCoreAllowance = 12 * time.Second
 	// staleReadLimit is the age from which an acknowledged document must be returned by every read.
 	staleReadLimit = 4 * time.Second
 	// regressionLimit is how long an instance may still use an older document after it used a newer one.
@@ -35,7 +37,9 @@
 		// drainingSince is keyed by leaf ID, outOfServiceSince by data centre.
 		drainingSince     map[string]time.Time
 		outOfServiceSince map[string]time.Time
-		acknowledged      []acknowledgement
+		// coreLostAt is when most control instances were last lost.
+		coreLostAt   time.Time
+		acknowledged []acknowledgement
 		// newestInUse is keyed by the name of a run of an instance.
 		newestInUse map[string]observedVersion
 		// limits are the rate limits that leafs state, keyed by leaf ID.
@@ -114,11 +118,27 @@
 	if since, ok := c.drainingSince[l.id]; ok && time.Since(since) > drainLimit {
 		c.reportViolation("leaf %s got request %s %v after it started draining", l.id, id, time.Since(since))
 	}
-	if since, ok := c.outOfServiceSince[l.zone]; ok && time.Since(since) > outOfServiceLimit {
+	if since, ok := c.outOfServiceSince[l.zone]; ok && time.Since(since) > c.outOfServiceLimitFrom(since) {
 		c.reportViolation("leaf %s in data centre %s got request %s %v after the data centre was taken out of service", l.id, l.zone, id, time.Since(since))
 	}
 }
 
+// outOfServiceLimitFrom returns the limit for a data centre that was taken out of service at the given time. The users' rules
+// extend it while most control instances are lost, since no majority can tell the entry instances then.
+func (c *checker) outOfServiceLimitFrom(since time.Time) time.Duration {
+	if c.coreLostAt.After(since) {
+		return outOfServiceLimit + lostCoreAllowance
+	}
+	return outOfServiceLimit
+}
+
+// recordLostCore records that most control instances are lost now.
+func (c *checker) recordLostCore() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.coreLostAt = time.Now()
+}
+
 func (c *checker) recordDraining(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -22,6 +22,8 @@
 	gracePeriod = 4 * time.Second
 	// restartPause is the time between the exit of a process and its next start.
 	restartPause = 100 * time.Millisecond
+	// corePollInterval is the interval at which lost control instances are counted.
+	corePollInterval = 50 * time.Millisecond
 	// memoryLimitMiB is the memory of the smallest entry instances.
 	memoryLimitMiB = 184
 )
@@ -31,12 +33,14 @@
 type (
 	// process is one instance, which the deployment restarts whenever it exits.
 	process struct {
-		name             string
-		subcommand       string
-		settingsPath     string
-		dataDir          string
-		host             string
-		linkProxy        *proxy
+		name         string
+		subcommand   string
+		settingsPath string
+		dataDir      string
+		host         string
+		linkProxy    *proxy
+		// orderProxy is another way to controlAddress, on which orders can be held up.
+		orderProxy       *proxy
 		frontAddress     string
 		readinessAddress string
 		controlAddress   string
@@ -45,6 +49,7 @@
 		runCount         int
 		terminatedAt     time.Time
 		lastFaultAt      time.Time
+		wipedAt          time.Time
 		isShutDown       bool
 		ended            chan bool
 		// pendingActions are run once, between the exit of the process and its next start.
@@ -117,6 +122,9 @@
 	if p.linkProxy, err = newProxy(fmt.Sprintf("%s:%d", host, d.linkPort), fmt.Sprintf("127.0.%d.%d:%d", d.subnet+100, i+1, d.linkPort)); err != nil {
 		d.t.Fatal(err)
 	}
+	if p.orderProxy, err = newProxy("127.0.0.1:0", p.controlAddress); err != nil {
+		d.t.Fatal(err)
+	}
 	if i < 3 {
 		d.seeds = append(d.seeds, fmt.Sprintf("%s:%d", host, d.linkPort))
 	}
@@ -161,6 +169,34 @@
 	}
 }
 
+// watchCore records when most control instances are lost: each one for catchUpTime after a fault, and longer after its disk was
+// wiped or while its link is impaired.
+func (d *deployment) watchCore(stop <-chan bool) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(corePollInterval):
+		}
+		lost := 0
+		for _, p := range d.controls() {
+			if p.isLost() {
+				lost++
+			}
+		}
+		if 2*lost > controlCount {
+			d.checker.recordLostCore()
+		}
+	}
+}
+
+// isLost reports whether a control instance had a fault within catchUpTime, or its link is impaired.
+func (p *process) isLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.lastFaultAt) < catchUpTime || time.Since(p.wipedAt) < catchUpTime+settleTime || p.linkProxy.currentMode() != modeForward
+}
+
 // supervise starts the process and restarts it whenever it exits, until the deployment is closed.
 func (d *deployment) supervise(p *process) {
 	defer close(p.ended)
@@ -206,6 +242,7 @@
 		<-p.ended
 		if p.linkProxy != nil {
 			p.linkProxy.close()
+			p.orderProxy.close()
 		}
 	}
 	d.fleet.close()
@@ -257,6 +294,12 @@
 	p.lastFaultAt = time.Now()
 }
 
+func (p *process) recordWipe() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wipedAt = time.Now()
+}
+
 // runName returns a name of the current run of the process, which differs between runs.
 func (p *process) runName() string {
 	p.mu.Lock()
--- a/soak/orders_test.go
+++ b/soak/orders_test.go
@@ -42,6 +42,7 @@
 
 // orderDataCentres starts an operator for one data centre, beside those for the others. Up to two of them are out at a time.
 func (f *faultInjector) orderDataCentres() {
+	const rounds = 2
 	zone := string("bc"[f.random.IntN(2)])
 	if !f.orders.tryLock(zone) {
 		return
@@ -49,34 +50,35 @@
 	random := rand.New(rand.NewPCG(f.random.Uint64(), 1))
 	go func() {
 		defer f.orders.unlock(zone)
-		for range 2 {
+		for range rounds {
+			f.giveOrder(zone, false, random)
 			f.giveOrder(zone, true, random)
 			time.Sleep(outOfServiceLimit/2 + time.Duration(random.Int64N(int64(outOfServiceLimit))))
-			f.giveOrder(zone, false, random)
-			time.Sleep(time.Duration(random.Int64N(int64(300 * time.Millisecond))))
 		}
+		f.giveOrder(zone, false, random)
 	}()
 }
 
-// giveOrder sends an order to one instance after the other until one acknowledges it. Half of the time the first instance is
-// paused while the order waits in its socket, and goes on later.
+// giveOrder sends an order to one instance after the other until one acknowledges it. Most of the time a first copy is held up at
+// another instance and read only later.
 func (f *faultInjector) giveOrder(zone string, isOut bool, random *rand.Rand) {
 	controls, c := f.deployment.controls(), f.deployment.checker
 	if !isOut {
 		c.recordOutOfService(zone, false)
 	}
-	if random.IntN(2) == 0 {
-		paused := controls[random.IntN(controlCount)]
-		paused.signal(syscall.SIGSTOP)
-		f.schedule(time.Second+time.Duration(random.Int64N(int64(3*time.Second))), func() { paused.signal(syscall.SIGCONT) })
-		var copies sync.WaitGroup
-		for range 2 {
-			copies.Go(func() { f.traffic.post(paused, orderPath(isOut)+zone, "") })
-		}
-		copies.Wait()
+	path := orderPath(isOut) + zone
+	switch held := controls[random.IntN(controlCount)]; random.IntN(3) {
+	case 0:
+		held.signal(syscall.SIGSTOP)
+		f.schedule(heldUpFor(random), func() { held.signal(syscall.SIGCONT) })
+		f.traffic.post(held, path, "")
+	case 1:
+		held.orderProxy.setMode(modeBlock)
+		f.schedule(heldUpFor(random), func() { held.orderProxy.setMode(modeForward) })
+		f.traffic.postTo(held.orderProxy.address(), held.name, path, "")
 	}
 	for startedAt := time.Now(); time.Since(startedAt) < orderTimeout; {
-		if f.traffic.post(controls[random.IntN(controlCount)], orderPath(isOut)+zone, "") && random.Float64() >= lostAnswerShare {
+		if f.traffic.post(controls[random.IntN(controlCount)], path, "") && random.Float64() >= lostAnswerShare {
 			if isOut {
 				c.recordOutOfService(zone, true)
 			}
@@ -84,3 +86,8 @@
 		}
 	}
 }
+
+// heldUpFor returns for how long a copy of an order is held up: longer than the operator waits for an answer.
+func heldUpFor(random *rand.Rand) time.Duration {
+	return 1200*time.Millisecond + time.Duration(random.Int64N(int64(2500*time.Millisecond)))
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -31,6 +33,7 @@
 var (
 	seedCount     = flag.Int("seeds", 1, "number of seeds to run")
 	firstSeed     = flag.Uint64("first", 1, "first seed")
+	onlyKinds     = flag.String("only", "", "comma-separated kinds of faults to inject, all if empty")
 	faultDuration = flag.Duration("span", 6*time.Second, "time during which faults are injected in each run")
 	entryCount    = flag.Int("entries", defaultEntryCount, "number of entry instances")
 	// firstSubnet is the lowest third octet of the loopback addresses of a deployment; its successors are used in turn. The
@@ -116,6 +119,7 @@
 		t.Fatal(err)
 	}
 	tr.start()
+	go d.watchCore(tr.stop)
 	return tr, random
 }
 
@@ -149,6 +153,12 @@
 	}
 }
 
+// faultKind is a kind of fault, with the function that injects one of them.
+type faultKind struct {
+	name   string
+	inject func()
+}
+
 // faultInjector injects faults of random kinds, which may overlap, into one run.
 type faultInjector struct {
 	deployment       *deployment
@@ -162,10 +172,7 @@
 }
 
 func (f *faultInjector) run(duration time.Duration) {
-	kinds := []struct {
-		name   string
-		inject func()
-	}{
+	kinds := []faultKind{
 		{"kill entry", func() { f.randomEntry().signal(syscall.SIGKILL) }},
 		{"terminate entry", func() { f.terminate(f.randomEntry()) }},
 		{"pause entry", func() { f.pause(f.randomEntry()) }},
@@ -196,6 +203,9 @@
 	}
 	if f.kindCount > 0 {
 		kinds = kinds[:f.kindCount]
+	} else if *onlyKinds != "" {
+		names := strings.Split(*onlyKinds, ",")
+		kinds = slices.DeleteFunc(kinds, func(kind faultKind) bool { return !slices.Contains(names, kind.name) })
 	}
 	if f.kindCount == 0 && f.random.IntN(2) == 0 {
 		f.orderDataCentres()
@@ -215,6 +225,7 @@
 		p.signal(syscall.SIGCONT)
 		if p.linkProxy != nil {
 			p.linkProxy.setMode(modeForward)
+			p.orderProxy.setMode(modeForward)
 		}
 	}
 	for _, l := range f.deployment.fleet.all() {
@@ -287,6 +298,7 @@
 		return
 	}
 	f.wipedAt[p] = time.Now()
+	p.recordWipe()
 	f.deployment.writeSettings(p, false)
 	p.killThen(func() {
 		if err := os.RemoveAll(filepath.Join(p.dataDir, "log")); err != nil {
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -216,14 +216,19 @@
 }
 
 func (tr *traffic) post(p *process, path, body string) bool {
+	return tr.postTo(p.controlAddress, p.name, path, body)
+}
+
+// postTo sends an order to the address of a control instance and reports whether it was acknowledged within a second.
+func (tr *traffic) postTo(address, name, path, body string) bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Post("http://"+p.controlAddress+path, "application/json", bytes.NewReader([]byte(body)))
+	response, err := client.Post("http://"+address+path, "application/json", bytes.NewReader([]byte(body)))
 	if err != nil {
 		return false
 	}
 	_ = response.Body.Close()
 	if response.StatusCode >= 400 && response.StatusCode < 500 {
-		tr.deployment.t.Errorf("%s answered the valid request %s with status %d", p.name, path, response.StatusCode)
+		tr.deployment.t.Errorf("%s answered the valid request %s with status %d", name, path, response.StatusCode)
 	}
 	return response.StatusCode == http.StatusOK
 }
