Soak: never give an instance the same port twice

Trace: its readiness port, picked as free, was 42331, which is the port between instances too, so that it could not listen on it (its log: cannot listen on the address) and the probe reached the other service. A fault of the harness; the port of another listener of the instance is no longer picked.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -113,7 +113,16 @@
 
 func (d *deployment) newProcess(i int) *process {
 	host := d.hostAddress(i)
-	address := func() string { return fmt.Sprintf("%s:%d", host, freePort(d.t, host)) }
+	// An entry instance listens on the link port later, so that the port is still free here.
+	taken := map[int]bool{d.linkPort: true}
+	address := func() string {
+		port := freePort(d.t, host)
+		for taken[port] {
+			port = freePort(d.t, host)
+		}
+		taken[port] = true
+		return fmt.Sprintf("%s:%d", host, port)
+	}
 	if i >= controlCount {
 		return &process{name: fmt.Sprint("entry-", i-controlCount+1), subcommand: "entry", host: host, frontAddress: address(), readinessAddress: address()}
 	}
