--- a/soak/orders_test.go
+++ b/soak/orders_test.go
@@ -53,7 +53,7 @@
 		for range rounds {
 			f.giveOrder(zone, false, random)
 			f.giveOrder(zone, true, random)
-			time.Sleep(outOfServiceLimit/2 + time.Duration(random.Int64N(int64(outOfServiceLimit))))
+			time.Sleep(outOfServiceLimit - time.Second + time.Duration(random.Int64N(int64(4*time.Second))))
 		}
 		f.giveOrder(zone, false, random)
 	}()
@@ -67,12 +67,12 @@
 		c.recordOutOfService(zone, false)
 	}
 	path := orderPath(isOut) + zone
-	switch held := controls[random.IntN(controlCount)]; random.IntN(3) {
+	switch held := controls[random.IntN(controlCount)]; random.IntN(4) {
 	case 0:
 		held.signal(syscall.SIGSTOP)
 		f.schedule(heldUpFor(random), func() { held.signal(syscall.SIGCONT) })
 		f.traffic.post(held, path, "")
-	case 1:
+	case 1, 2:
 		held.orderProxy.setMode(modeBlock)
 		f.schedule(heldUpFor(random), func() { held.orderProxy.setMode(modeForward) })
 		f.traffic.postTo(held.orderProxy.address(), held.name, path, "")
