--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -37,8 +37,8 @@
 		// drainingSince is keyed by leaf ID, outOfServiceSince by data centre.
 		drainingSince     map[string]time.Time
 		outOfServiceSince map[string]time.Time
-		// coreLostAt is when most control instances were last lost.
-		coreLostAt   time.Time
+		// coreLostFor is, by data centre that is out, for how long most control instances were lost since the order.
+		coreLostFor  map[string]time.Duration
 		acknowledged []acknowledgement
 		// newestInUse is keyed by the name of a run of an instance.
 		newestInUse map[string]observedVersion
@@ -76,7 +76,7 @@
 	return &checker{
 		startedAt: time.Now(), executions: map[string]int{}, requests: map[string]sentRequest{}, refusedIDs: map[string]bool{},
 		drainingSince: map[string]time.Time{}, outOfServiceSince: map[string]time.Time{}, newestInUse: map[string]observedVersion{},
-		limits: map[string]*judgedLimit{},
+		limits: map[string]*judgedLimit{}, coreLostFor: map[string]time.Duration{},
 	}
 }
 
@@ -118,25 +118,24 @@
 	if since, ok := c.drainingSince[l.id]; ok && time.Since(since) > drainLimit {
 		c.reportViolation("leaf %s got request %s %v after it started draining", l.id, id, time.Since(since))
 	}
-	if since, ok := c.outOfServiceSince[l.zone]; ok && time.Since(since) > c.outOfServiceLimitFrom(since) {
+	if since, ok := c.outOfServiceSince[l.zone]; ok && time.Since(since) > c.outOfServiceLimitOf(l.zone) {
 		c.reportViolation("leaf %s in data centre %s got request %s %v after the data centre was taken out of service", l.id, l.zone, id, time.Since(since))
 	}
 }
 
-// outOfServiceLimitFrom returns the limit for a data centre that was taken out of service at the given time. The users' rules
-// extend it while most control instances are lost, since no majority can tell the entry instances then.
-func (c *checker) outOfServiceLimitFrom(since time.Time) time.Duration {
-	if c.coreLostAt.After(since) {
-		return outOfServiceLimit + lostCoreAllowance
-	}
-	return outOfServiceLimit
+// outOfServiceLimitOf returns the limit for a data centre that is out of service. It is extended by the time for which most control
+// instances were lost since the order, as no majority could tell the entry instances then.
+func (c *checker) outOfServiceLimitOf(zone string) time.Duration {
+	return outOfServiceLimit + min(lostCoreAllowance, c.coreLostFor[zone])
 }
 
-// recordLostCore records that most control instances are lost now.
-func (c *checker) recordLostCore() {
+// recordLostCore records that most control instances were lost for the given time until now.
+func (c *checker) recordLostCore(elapsed time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.coreLostAt = time.Now()
+	for zone := range c.outOfServiceSince {
+		c.coreLostFor[zone] += elapsed
+	}
 }
 
 func (c *checker) recordDraining(id string) {
@@ -149,6 +148,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.outOfServiceSince, zone)
+	delete(c.coreLostFor, zone)
 	if isOut {
 		c.outOfServiceSince[zone] = time.Now()
 	}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -181,12 +181,15 @@
 // watchCore records when most control instances are lost: each one for catchUpTime after a fault, and longer after its disk was
 // wiped or while its link is impaired.
 func (d *deployment) watchCore(stop <-chan bool) {
+	polledAt := time.Now()
 	for {
 		select {
 		case <-stop:
 			return
 		case <-time.After(corePollInterval):
 		}
+		elapsed := time.Since(polledAt)
+		polledAt = polledAt.Add(elapsed)
 		lost := 0
 		for _, p := range d.controls() {
 			if p.isLost() {
@@ -194,7 +197,7 @@
 			}
 		}
 		if 2*lost > controlCount {
-			d.checker.recordLostCore()
+			d.checker.recordLostCore(elapsed)
 		}
 	}
 }
