Log when an instance reaches no leaf any more, and when it reaches leafs again

The logs could not tell an instance that is cut off from leafs that fail everywhere. Package detector follows the requests to all leafs: if none has answered for 150 ms although several are due, and connections to three random leafs fail as well, the instance counts as cut off. Nothing acts on it yet.

--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"lovagedeck/pkg/aggregator"
+	"lovagedeck/pkg/detector"
 	"lovagedeck/pkg/exchanger"
 	"lovagedeck/pkg/hedger"
 	"lovagedeck/pkg/lister"
@@ -67,6 +68,13 @@
 		members    []slicer.Member
 		addresses  map[string]string
 		assignment sliceAssignment
+		// detector decides whether this instance is cut off from the leafs. isEvaluating is set while its evaluation is scheduled,
+		// and isChecking while a check runs.
+		detector     *detector.Detector
+		isEvaluating bool
+		isChecking   bool
+		// mayBeStale reports whether this process may have been paused; it may be nil.
+		mayBeStale func() bool
 	}
 
 	// recentMember records when an instance was last a member, and in which data centre.
@@ -101,7 +109,7 @@
 		random: config.Random, instanceCount: 1,
 		services: map[string]*service{}, leafs: map[string]*upstream{}, latencies: map[string]*latencyStats{}, outOfService: map[string]bool{},
 		recentMembers: map[string]recentMember{}, instanceSet: placer.InstanceSet{DataCentre: config.DataCentre, Instances: map[string]int{config.DataCentre: 1}},
-		prewarmRequests: make(chan struct{}, 1), peers: config.Peers,
+		prewarmRequests: make(chan struct{}, 1), peers: config.Peers, detector: detector.New(), mayBeStale: config.MayBeStale,
 	}
 	if f.peers != nil {
 		f.peers.SetFailureHandler(f.publishUnresponsiveInstance)
--- a/pkg/gatekeeper/fleet_attempts.go
+++ b/pkg/gatekeeper/fleet_attempts.go
@@ -142,6 +142,7 @@
 	a := &attempt{id: f.lastID, upstream: s.upstreamOf(leaf), latency: f.latencyOf(route), startedAt: now, isExtra: isExtra}
 	a.expectedDuration = leaf.ExpectedLatency(a.latency.typical, now)
 	leaf.OnSend(a.id, a.latency.typical, now)
+	f.recordStart(a, now)
 	return a, denialNone
 }
 
@@ -161,11 +162,12 @@
 	return nil
 }
 
-// finish records the outcome of an attempt. An extra attempt that was not sent is refunded to the retry budget.
-func (f *fleet) finish(a *attempt, outcome placer.Outcome, took time.Duration, sent bool) {
+// finish records the result of an attempt and its outcome. An extra attempt that was not sent is refunded to the retry budget.
+func (f *fleet) finish(a *attempt, outcome placer.Outcome, result exchanger.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.now()
+	now, took := f.now(), result.ResponseTime
+	f.recordEnd(a, result, now)
 	leaf := a.upstream.leaf
 	wasEjected, wasReplaced := leaf.IsEjected(now), leaf.IsReplaced()
 	leaf.OnEnd(a.id, outcome, took, a.latency.typical, now)
@@ -176,7 +178,7 @@
 	if outcome == placer.Answered {
 		a.latency.record(took)
 	}
-	f.refundBudget(a, sent)
+	f.refundBudget(a, result.MaybeSent)
 }
 
 // logLeafState logs that a leaf is no longer used, or is used again.
@@ -200,6 +202,7 @@
 		a.upstream.leaf.OnOverdue(now-a.startedAt, a.latency.typical, now)
 		f.publishLeafState(a.upstream.leaf, now)
 	}
+	f.checkIfSilent()
 }
 
 // abandon records an attempt that was given up, for example because another one succeeded or the caller disconnected.
@@ -207,6 +210,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
+	f.detector.OnEnd(a.id, now)
 	a.upstream.leaf.OnAbandon(a.id, now-a.startedAt, a.latency.typical, now)
 	if sent {
 		f.publishLeafState(a.upstream.leaf, now)
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -126,6 +126,7 @@
 		config.Permits = permitter.New(permitter.Config{Instance: config.Instance, Now: config.Now, Log: config.Log, Service: permitter.NewService(config.Now)})
 	}
 	g.fleet = newFleet(exchange, config)
+	g.metrics.NewGauge("gatekeeper_reaches_leafs", g.fleet.reachesLeafs)
 	g.server = &http.Server{Handler: g, IdleTimeout: defaultIdleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.connections.onState}
 	return g
 }
@@ -266,6 +267,7 @@
 		return
 	}
 	g.counters.connectionsOpened.Inc()
+	g.fleet.onConnected()
 }
 
 // formatSeconds formats a duration as decimal seconds for a Retry-After header.
--- a/pkg/gatekeeper/plain.go
+++ b/pkg/gatekeeper/plain.go
@@ -147,7 +147,7 @@
 	g := f.gate
 	outcome := g.outcomeOf(end.result)
 	g.logAttemptEnd(f.in, end.attempt, outcome, end.result)
-	g.fleet.finish(end.attempt, outcome, end.result.ResponseTime, end.result.MaybeSent)
+	g.fleet.finish(end.attempt, outcome, end.result)
 	f.attempts = removeAttempt(f.attempts, end.attempt)
 	f.hasReachedLeaf = f.hasReachedLeaf || end.result.MaybeSent
 	mayHaveRun := end.result.MaybeSent && outcome != placer.Refused && outcome != placer.Replaced
@@ -211,8 +211,9 @@
 		sent := a.exchange.MaybeSent()
 		a.exchange.Abandon(true)
 		elapsed := g.config.Now() - a.startedAt
-		g.logAttemptEnd(f.in, a, placer.Unanswered, exchanger.Result{MaybeSent: sent, ResponseTime: elapsed})
-		g.fleet.finish(a, placer.Unanswered, elapsed, sent)
+		result := exchanger.Result{MaybeSent: sent, ResponseTime: elapsed}
+		g.logAttemptEnd(f.in, a, placer.Unanswered, result)
+		g.fleet.finish(a, placer.Unanswered, result)
 		f.lastFailure.mayHaveRun = f.lastFailure.mayHaveRun || sent
 	}
 	f.lastFailure.reason = "no answer in time"
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -170,7 +170,7 @@
 		}
 	}
 	q.gate.logAttemptEnd(q.in, c.attempt, outcome, c.result)
-	q.gate.fleet.finish(c.attempt, outcome, c.result.ResponseTime, c.result.MaybeSent)
+	q.gate.fleet.finish(c.attempt, outcome, c.result)
 	q.inFlight = removeAttempt(q.inFlight, c.attempt)
 	if outcome == placer.Answered {
 		if q.execution.OnPart(c.shard) {
--- a/pkg/gatekeeper/scatter_permits.go
+++ b/pkg/gatekeeper/scatter_permits.go
@@ -101,7 +101,7 @@
 
 // dropUnpermitted ends an attempt that was not sent because it got no permit.
 func (q *query) dropUnpermitted(a *attempt) {
-	q.gate.fleet.finish(a, placer.NotPermitted, 0, false)
+	q.gate.fleet.finish(a, placer.NotPermitted, exchanger.Result{})
 	q.inFlight = removeAttempt(q.inFlight, a)
 	if q.outcomes == nil {
 		q.outcomes = map[*placer.Leaf]placer.Outcome{}
