--- a/pkg/detector/detector_test.go
+++ b/pkg/detector/detector_test.go
@@ -111,7 +111,7 @@
 	for id, leaf := range leafNames {
 		d.OnStart(uint64(id), leaf, typicalLatency, 0)
 	}
-	d.OnContact(false, 250 * time.Millisecond)
+	d.OnContact(false, 250*time.Millisecond)
 	if d.OnCheckFailed(leafNames[:3], knownLeafs, 200*time.Millisecond, 300*time.Millisecond) || d.State() != InTouch {
 		t.Errorf("state %v, want in touch", d.State())
 	}
--- a/pkg/gatekeeper/slice_test.go
+++ b/pkg/gatekeeper/slice_test.go
@@ -29,8 +29,9 @@
 	permits    []*permitter.Permitter
 	now        func() time.Duration
 	rpcServers map[string]*linker.Server
-	// handlers receive the calls from other instances, in the order of gates.
+	// handlers receive the calls from other instances, and links lead to the leafs, in the order of gates.
 	handlers []*testGatherer
+	links    []*leafLink
 }
 
 // testGatherer wraps the gatekeeper of an instance to inject faults into calls from other instances.
@@ -59,12 +60,17 @@
 const testInstances = 8
 
 func newGathererCluster(t *testing.T, services ...string) *gathererCluster {
+	t.Helper()
+	return newCluster(t, testInstances, services...)
+}
+
+func newCluster(t *testing.T, instances int, services ...string) *gathererCluster {
 	t.Helper()
 	startedAt := time.Now()
 	g := &gathererCluster{rpcServers: map[string]*linker.Server{}, now: func() time.Duration { return time.Since(startedAt) }}
-	g.permits, _ = newPermitMembers(t, testInstances, g.now)
+	g.permits, _ = newPermitMembers(t, instances, g.now)
 	machine := tabulator.NewMachine()
-	for i := range testInstances {
+	for i := range instances {
 		machine.Apply(tabulator.Join{Member: g.startInstance(t, fmt.Sprintf("entry-%d", i+1))})
 	}
 	view, err := tabulator.NewView().Apply(machine.Delta(0))
@@ -89,6 +95,8 @@
 	config.Now, config.Permits = g.now, g.permits[len(g.gates)]
 	config.Instance, config.Random, config.Peers = name, rand.New(rand.NewPCG(1, uint64(len(g.gates)))), aggregator.NewPeers(l, config.Now, logr.Discard())
 	config.Budget = hedger.RetryLimit{Ratio: 0.2, Slack: 500, Window: 10 * time.Second}
+	link := newLeafLink()
+	config.Dial = link.dial
 	gate := New(config)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -108,6 +116,7 @@
 		g.testTier = serveTier(t, gate)
 	}
 	g.gates, g.handlers, g.rpcServers[name] = append(g.gates, gate), append(g.handlers, handler), rpcServer
+	g.links = append(g.links, link)
 	return tabulator.MemberFields{Instance: name, Incarnation: 1, DataCentre: "a", FellowAddress: listener.Addr().String()}
 }
 
