Move a relayed request on when the instance that serves it is cut off as well

The serving instance may not relay it further, and it did not say that it had lost the leafs. It now ends the request with that statement, and the instance of the caller offers it to a third one, as a further attempt. Requests that are not idempotent go on waiting. TestRelayedRequestMovesOnWhenItsInstanceIsCutOff failed before, with 504.

--- a/pkg/aggregator/wire.go
+++ b/pkg/aggregator/wire.go
@@ -128,9 +128,11 @@
 		NotRun string
 		// TakesNoWork is set if the instance serves no requests of other instances for now.
 		TakesNoWork bool
-		Status      int
-		Header      map[string][]string
-		Body        []byte
+		// IsCutOff is set if the instance reached no leaf any more before it had a response. The request may have run.
+		IsCutOff bool
+		Status   int
+		Header   map[string][]string
+		Body     []byte
 	}
 )
 
--- a/pkg/gatekeeper/relay.go
+++ b/pkg/gatekeeper/relay.go
@@ -71,7 +71,7 @@
 		switch {
 		case errors.Is(err, aggregator.ErrNotRelayed) || err == nil && reply.NotRun != "":
 			continue
-		case err == nil:
+		case err == nil && !reply.IsCutOff:
 			g.counters.relayed.Inc()
 			g.writeRelayed(w, in, reply, mayHaveRun)
 			return true
--- a/pkg/gatekeeper/relay_test.go
+++ b/pkg/gatekeeper/relay_test.go
@@ -237,3 +237,29 @@
 		t.Error("the instance is not ready for callers, want it ready while others serve them")
 	}
 }
+
+// The instance that serves a relayed request is cut off as well. A third one serves it.
+func TestRelayedRequestMovesOnWhenItsInstanceIsCutOff(t *testing.T) {
+	shards := shardNames(6)
+	for _, fields := range []router.RouteFields{sweepRoute(shards), cardRoute(true)} {
+		t.Run(fields.Name, func(t *testing.T) {
+			t.Parallel()
+			g := newCluster(t, relayInstances, shards...)
+			fields.MaxAttempts = 3
+			g.configure(t, fields)
+			g.callAll(http.MethodGet, 300*time.Millisecond)
+			g.links[0].cut(linkHangs)
+			g.callAll(http.MethodGet, noticeTime)
+			for _, leaf := range g.leafs {
+				leaf.setHandler(func(w http.ResponseWriter, _ *http.Request) {
+					time.Sleep(100 * time.Millisecond)
+					_, _ = w.Write(make([]byte, 16))
+				})
+			}
+			time.AfterFunc(30*time.Millisecond, func() { g.links[1].cut(linkHangs) })
+			if statuses := g.callAll(http.MethodGet, 300*time.Millisecond); len(statuses) != 1 || statuses[http.StatusOK] == 0 {
+				t.Errorf("got responses %v, want only 200", statuses)
+			}
+		})
+	}
+}
--- a/pkg/gatekeeper/relayed.go
+++ b/pkg/gatekeeper/relayed.go
@@ -58,10 +58,35 @@
 	defer g.relayed.remove(query.RelayID())
 	g.counters.relayedServed.Inc()
 	response := &responseBuffer{header: http.Header{}}
+	cutOff := g.fleet.noticeOfCutOff()
+	if query.Route.Idempotent {
+		go cancelOn(ctx, cutOff, cancel)
+	}
 	g.serveBuffered(ctx, response, g.newRelayedRequest(query))
+	if response.status == http.StatusBadGateway && isClosed(cutOff) {
+		return aggregator.RelayReply{IsCutOff: true, TakesNoWork: true}
+	}
 	return aggregator.RelayReply{Status: response.status, Header: response.header, Body: response.body}
 }
 
+// cancelOn cancels a context when the notice is closed.
+func cancelOn(ctx context.Context, notice <-chan struct{}, cancel context.CancelFunc) {
+	select {
+	case <-notice:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
+func isClosed(notice <-chan struct{}) bool {
+	select {
+	case <-notice:
+		return true
+	default:
+		return false
+	}
+}
+
 // CancelRelayed ends a relayed request whose caller has left.
 func (g *Gatekeeper) CancelRelayed(id aggregator.SliceID) { g.relayed.cancel(id) }
 
