Count what other instances may send as attempts of a relayed query

A query counted each of its slices as one attempt, also after it had granted all attempts, and did not cancel them before it was relayed. It now counts what it granted, and ends its slices and attempts first. TestSlicesCountAsAttemptsOfRelayedQuery failed before (1, want 2).

--- a/pkg/gatekeeper/relay_test.go
+++ b/pkg/gatekeeper/relay_test.go
@@ -263,3 +263,20 @@
 		})
 	}
 }
+
+// Other instances gather the shards of a query when the instance of its caller is cut off. What they were allowed to send counts as
+// used when the query is relayed, so that no shard is asked more often than the route allows.
+func TestSlicesCountAsAttemptsOfRelayedQuery(t *testing.T) {
+	g := newCluster(t, relayInstances, "s00", "s01")
+	in := &inboundRequest{id: "r-1", arrivedAt: time.Now(), deadline: time.Now().Add(time.Second), route: router.NewRoute(sweepRoute([]string{"s00", "s01"}))}
+	q := g.gate.newQuery(in)
+	q.delegated[0] = &delegatedSlice{shards: []int{0}}
+	q.execution.OnDelegated(0, 0, time.Second)
+	if used := q.prior().used; used != 1 || !g.gate.canRelay(in, q.prior()) {
+		t.Errorf("a slice without a grant counts as %d attempts, want 1", used)
+	}
+	q.execution.OnGrantSent(0, time.Second)
+	if used := q.prior().used; used != 2 || g.gate.canRelay(in, q.prior()) {
+		t.Errorf("a slice with a grant counts as %d attempts, want all 2", used)
+	}
+}
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -162,28 +162,33 @@
 	}
 }
 
-// prior returns the largest number of attempts for one shard that leafs may have run.
+// prior returns the largest number of attempts for one shard that leafs may have run or, at other instances, may still run.
 func (q *query) prior() priorAttempts {
-	used := make([]int, len(q.shards))
+	attempts := make([]int, len(q.shards))
 	for shard := range q.shards {
-		used[shard] = len(q.mayHaveRun[shard])
-		if q.delegated[shard] != nil || q.execution.HasPart(shard) {
-			used[shard]++
-		}
+		attempts[shard] = q.execution.Attempts(shard)
 	}
 	for _, a := range q.inFlight {
-		if a.exchange != nil && a.exchange.MaybeSent() {
-			used[a.shard]++
+		if a.exchange == nil || !a.exchange.MaybeSent() {
+			attempts[a.shard]--
 		}
 	}
-	return priorAttempts{used: slices.Max(used), isCounted: true}
+	return priorAttempts{used: slices.Max(attempts), isCounted: true}
 }
 
-// relay has another instance serve the query, since this one reaches no leaf any more, and reports whether the caller has been
-// answered.
+// relay ends the attempts and slices of this instance, which reaches no leaf any more, and has another instance serve the query. It
+// reports whether the caller has been answered.
 func (q *query) relay(ctx context.Context, w http.ResponseWriter) bool {
 	prior := q.prior()
-	return q.gate.canRelay(q.in, prior) && q.gate.relay(ctx, w, q.in, prior)
+	if !q.gate.canRelay(q.in, prior) {
+		return false
+	}
+	q.cancelOutstanding(true)
+	q.inFlight = nil
+	if !q.gate.relay(ctx, w, q.in, prior) {
+		q.gate.refuseCutOff(w, q.in)
+	}
+	return true
 }
 
 // hedgeDelay returns the time after which an attempt is hedged. It is a high quantile of the response times of the route,
--- a/pkg/gatekeeper/scatter_slices.go
+++ b/pkg/gatekeeper/scatter_slices.go
@@ -233,6 +233,7 @@
 	for _, s := range q.delegated {
 		if s != nil && !s.isClosed && !dropped[s] {
 			dropped[s] = true
+			s.isClosed = true
 			s.call.Cancel(callerLeft)
 		}
 	}
--- a/pkg/gatherer/execution.go
+++ b/pkg/gatherer/execution.go
@@ -222,6 +222,10 @@
 	return now >= e.plan.SoftDeadline && !e.hasMinParts()
 }
 
+// Attempts returns the number of attempts of a shard that leafs may have run or may still run. Those that another instance may use
+// for it count as used.
+func (e *Execution) Attempts(index int) int { return e.shards[index].attempts }
+
 // InFlight returns the number of attempts of a shard that are in flight.
 func (e *Execution) InFlight(index int) int { return e.shards[index].inFlight }
 
