Reset the connection of a request that was given up

Suspected cause: what the cut held up. An ordinary close goes on delivering it, so that a request which was given up, and served elsewhere, reaches its leaf when the cut ends; with hundreds of instances as a burst of work nobody waits for. A reset drops it. TestAbandonedRequestIsNotDeliveredLater failed before (EOF, want a reset).

--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -86,12 +86,21 @@
 
 func (c *conn) close() { _ = c.raw.Close() }
 
-func (c *conn) closeIfCarrying(exchange *Exchange) {
+// reset closes the connection and drops what has not been delivered. An ordinary close would go on delivering it, so that a request
+// that was given up would reach the upstream when a network partition ends.
+func (c *conn) reset() {
+	if tcp, isTCP := c.raw.(interface{ SetLinger(seconds int) error }); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	c.close()
+}
+
+func (c *conn) resetIfCarrying(exchange *Exchange) {
 	c.pool.mu.Lock()
 	isCarrying := c.exchange == exchange
 	c.pool.mu.Unlock()
 	if isCarrying {
-		c.close()
+		c.reset()
 	}
 }
 
--- a/pkg/exchanger/exchanger_test.go
+++ b/pkg/exchanger/exchanger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -506,3 +507,30 @@
 		})
 	}
 }
+
+// A network partition holds up what is in flight. If the connection of a request that was given up were closed in the ordinary way,
+// the request would reach the upstream when the partition ends.
+func TestAbandonedRequestIsNotDeliveredLater(t *testing.T) {
+	for _, closeNow := range []bool{true, false} {
+		t.Run(fmt.Sprintf("close now %v", closeNow), func(t *testing.T) {
+			ended := make(chan error, 1)
+			received := make(chan bool, 1)
+			u := newUpstream(t, func(conn net.Conn, _ *http.Request, _ string) {
+				received <- true
+				_, err := conn.Read(make([]byte, 1))
+				ended <- err
+			})
+			exchange := u.pool(1).Start(newRequest("r-1"), func(Result) {})
+			<-received
+			exchange.Abandon(closeNow)
+			select {
+			case err := <-ended:
+				if !errors.Is(err, syscall.ECONNRESET) {
+					t.Errorf("the connection ended with %v, want a reset", err)
+				}
+			case <-time.After(abandonGrace + time.Second):
+				t.Error("the connection was not closed")
+			}
+		})
+	}
+}
--- a/pkg/exchanger/pool.go
+++ b/pkg/exchanger/pool.go
@@ -227,10 +227,10 @@
 		return
 	}
 	if closeNow {
-		c.close()
+		c.resetIfCarrying(e)
 		return
 	}
-	time.AfterFunc(abandonGrace, func() { c.closeIfCarrying(e) })
+	time.AfterFunc(abandonGrace, func() { c.resetIfCarrying(e) })
 }
 
 // MaybeSent reports whether the request may have reached the upstream.
