Set the keep-alive of connections to leafs and other instances on purpose

A connection that goes silent is noticed by the deadline of a request. An idle one was probed after 15 s with the defaults of the library, nine times 15 s apart: the next request found out. Probes after 5 s, three of them 1 s apart, find it within 8 s. TCP_USER_TIMEOUT stays unset, since it would decide when probes give up.

--- a/pkg/linker/linker.go
+++ b/pkg/linker/linker.go
@@ -15,6 +15,15 @@
 // would not help: a peer that has lost power does not answer, and a lost SYN is retransmitted only after 1 s.
 const dialTimeout = 150 * time.Millisecond
 
+const (
+	// keepAliveIdle is the idle time after which a connection is probed, keepAliveInterval the time between probes, and
+	// keepAliveProbes the number of unanswered ones after which it is closed. A silent connection is found within 8 s, before most
+	// idle ones are used again.
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 3
+)
+
 type (
 	// Dial opens a connection without TLS to an address and fails after timeout.
 	Dial func(address string, timeout time.Duration) (net.Conn, error)
@@ -60,7 +69,7 @@
 
 // New returns a Linker for the cluster of the secret.
 func New(secret Secret, options ...Option) *Linker {
-	linker := &Linker{secret: secret, dial: dialTCP, onRejected: func(string, error) {}}
+	linker := &Linker{secret: secret, dial: DialTCP, onRejected: func(string, error) {}}
 	for _, option := range options {
 		option(linker)
 	}
@@ -150,6 +159,13 @@
 	s.mu.Unlock()
 }
 
-func dialTCP(address string, timeout time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, timeout)
+// DialTCP opens a TCP connection and fails after timeout. Keep-alive probes close an idle connection whose other end does not answer
+// within keepAliveIdle and keepAliveProbes intervals. TCP_USER_TIMEOUT is not set: it would also decide when the probes give up, and
+// requests in progress have deadlines of their own.
+func DialTCP(address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
+	}
+	return dialer.Dial("tcp", address)
 }
