Log what leafs state of rest and leaving, and read all statements in one place

The logs named a refusal and not what the leaf asked for. A response may state a rate, that the leaf is leaving, and a rest; exchanger reads the three in one place, also in responses to abandoned requests, and the fleet logs them. Nothing acts on the two new ones yet.

--- a/pkg/exchanger/exchange.go
+++ b/pkg/exchanger/exchange.go
@@ -44,6 +44,8 @@
 		Proof string
 		// RateLimit states how many requests a second an overloaded upstream takes from all instances together.
 		RateLimit string
+		// Leaving marks the responses of an upstream that is about to stop.
+		Leaving string
 	}
 
 	// Request has what all attempts of one request share.
--- a/pkg/exchanger/permit.go
+++ b/pkg/exchanger/permit.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/valyala/fasthttp"
 )
 
 // permitValidity is the time from the permit to the sending of the request.
@@ -24,21 +23,11 @@
 		Acquire(maxWait time.Duration, done func(isPermitted bool))
 		// Return gives back a permit that was not used.
 		Return()
-		// OnStatement is called with what a response states about the rate limit, also if its request was abandoned. It is not
-		// called while the upstream states no limit and none is known.
+		// OnStatement is called with what a response states about the upstream, also if its request was abandoned. It is not called
+		// for responses that state nothing while the upstream is not known to have stated anything that this could end.
 		OnStatement(statement Statement)
 	}
 
-	// Statement is what the response to one request states about the rate limit of the upstream.
-	Statement struct {
-		RateLimit RateLimit
-		RequestID string
-		// ResponseTime is the time from sending the request to its response.
-		ResponseTime time.Duration
-		// HasRun is set if the upstream executed the request.
-		HasRun bool
-	}
-
 	// openGate permits every request.
 	openGate struct{}
 )
@@ -75,22 +64,6 @@
 	}
 }
 
-// reportStatement tells the gate what a response states about the rate limit. The response of another upstream that has the
-// address now says nothing.
-func (p *Pool) reportStatement(exchange *Exchange, response *fasthttp.Response) {
-	limit := rateLimitOf(&response.Header, p.config.Headers.RateLimit)
-	p.mu.Lock()
-	isRateLimited := p.isRateLimited
-	p.mu.Unlock()
-	if response.StatusCode() == fasthttp.StatusMisdirectedRequest || !limit.IsNamed && limit.Problem == "" && !isRateLimited {
-		return
-	}
-	p.gate.OnStatement(Statement{
-		RateLimit: limit, RequestID: exchange.request.ID, ResponseTime: time.Since(exchange.sentAt),
-		HasRun: len(response.Header.Peek(p.config.Headers.NotExecuted)) == 0,
-	})
-}
-
 // acquire requests a permit for an exchange, and starts or fails it.
 func (p *Pool) acquire(exchange *Exchange) {
 	p.gate.Acquire(exchange.request.MaxPermitWait, func(isPermitted bool) {
--- a/pkg/exchanger/pool.go
+++ b/pkg/exchanger/pool.go
@@ -59,6 +59,8 @@
 		gate        Gate
 		// isRateLimited is set while requests need a permit of gate.
 		isRateLimited bool
+		// isLeaving is set once the upstream has stated that it is about to stop.
+		isLeaving bool
 	}
 
 	// Exchange is a request to one upstream in progress.
--- a/pkg/exchanger/rate_limit.go
+++ b/pkg/exchanger/rate_limit.go
@@ -5,17 +5,7 @@
 
 package exchanger
 
-import (
-	"math"
-	"regexp"
-	"strconv"
-	"strings"
-
-	"github.com/valyala/fasthttp"
-)
-
-// rateLimitPattern matches a decimal number without an exponent. strconv also accepts hexadecimal numbers and underscores.
-var rateLimitPattern = regexp.MustCompile(`^(\d+\.?\d*|\.\d+)$`)
+import "github.com/valyala/fasthttp"
 
 // RateLimit is the rate that one response states.
 type RateLimit struct {
@@ -29,36 +19,19 @@
 
 // rateLimitOf returns the rate that the headers with the given name state.
 func rateLimitOf(header *fasthttp.ResponseHeader, name string) RateLimit {
-	if name == "" {
-		return RateLimit{}
-	}
-	var values []string
-	for _, line := range header.PeekAll(name) {
-		values = append(values, strings.Split(string(line), ",")...)
-	}
 	limit := RateLimit{}
+	values := headerValues(header, name)
 	if len(values) > 1 {
 		limit.Problem = "the rate is stated more than once"
 	}
 	for _, text := range values {
-		rate, isValid := parseRate(strings.TrimSpace(text))
+		rate, isValid := parseDecimal(text)
 		switch {
 		case !isValid:
-			limit.Problem = "not a rate: " + strconv.QuoteToASCII(text[:min(len(text), maxLoggedRateBytes)])
+			limit.Problem = "not a rate: " + quoteForLog(text)
 		case !limit.IsNamed || rate < limit.PerSecond:
 			limit.IsNamed, limit.PerSecond = true, rate
 		}
 	}
 	return limit
 }
-
-// maxLoggedRateBytes limits how much of an invalid rate is kept for the log.
-const maxLoggedRateBytes = 32
-
-func parseRate(text string) (rate float64, isValid bool) {
-	if !rateLimitPattern.MatchString(text) {
-		return 0, false
-	}
-	rate, err := strconv.ParseFloat(text, 64)
-	return rate, err == nil && !math.IsInf(rate, 0)
-}
--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -100,8 +100,11 @@
 		pool *exchanger.Pool
 		// unusedPermits holds, for each permit whose request ended early, until when another request may use it.
 		unusedPermits []time.Duration
-		// hasRateProblem is set once the leaf has stated an invalid rate.
+		// hasRateProblem and hasRestProblem are set once the leaf has stated an invalid rate or rest.
 		hasRateProblem bool
+		hasRestProblem bool
+		// hasStatedLeaving is set once the leaf has stated that it is leaving.
+		hasStatedLeaving bool
 	}
 )
 
--- a/pkg/gatekeeper/fleet_rate_limits.go
+++ b/pkg/gatekeeper/fleet_rate_limits.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"lovagedeck/pkg/exchanger"
 	"lovagedeck/pkg/limiter"
 	"lovagedeck/pkg/router"
 	"lovagedeck/pkg/spreader"
@@ -98,28 +97,6 @@
 	}
 }
 
-// OnStatement records what a response states about the rate limit of its leaf. Only an executed request shows the end of a limit.
-func (g leafGate) OnStatement(statement exchanger.Statement) {
-	f, u := g.fleet, g.upstream
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	stated, now := statement.RateLimit, f.now()
-	f.logRateProblem(u, stated.Problem, statement.RequestID)
-	if !stated.IsNamed && (stated.Problem != "" || !statement.HasRun) {
-		return
-	}
-	change := u.leaf.OnRateLimit(stated.IsNamed, stated.PerSecond, now-statement.ResponseTime, now)
-	f.onRateLimitChange(u, change, statement.RequestID, now)
-	if change == limiter.Unchanged {
-		return
-	}
-	limit := u.leaf.RateLimit()
-	f.permits.Report(u.leaf.Fields().ID, u.leaf.Fields().DataCentre, limit)
-	if f.publish != nil {
-		f.publish(spreader.NewRateLimit(u.leaf.Fields().ID, limit.IsLimited(), limit.PerSecond(), limit.SeenAt()))
-	}
-}
-
 // applyRateLimit applies another instance's observation of the rate limit of a leaf.
 func (f *fleet) applyRateLimit(leaf string, observation spreader.Observation, now time.Duration) {
 	u := f.leafs[leaf]
@@ -145,16 +122,6 @@
 		"per-second", limit.PerSecond(), "age-ms", (now - limit.SeenAt()).Milliseconds(), "source", source)
 }
 
-// logRateProblem logs the first invalid rate of each leaf.
-func (f *fleet) logRateProblem(u *upstream, problem, requestID string) {
-	if problem == "" || u.hasRateProblem {
-		return
-	}
-	u.hasRateProblem = true
-	fields := u.leaf.Fields()
-	f.log.Info("gatekeeper: rate limit of leaf is invalid", "leaf", fields.ID, "service", fields.Service, "request", requestID, "problem", problem)
-}
-
 // retryAfter returns when a request that needs all but the given number of the services can be repeated, or 0 if the rate
 // limits of their leafs leave room for it.
 func (f *fleet) retryAfter(services []string, dispensable int) time.Duration {
--- /dev/null
+++ b/pkg/gatekeeper/fleet_statements.go
@@ -0,0 +1,76 @@
+// A leaf states in its responses how many requests it takes, that it is
+// leaving, and for how long it wants no requests from this instance. The
+// connections report each statement here, also those in the responses to
+// requests that were abandoned.
+
+package gatekeeper
+
+import (
+	"time"
+
+	"lovagedeck/pkg/exchanger"
+	"lovagedeck/pkg/limiter"
+	"lovagedeck/pkg/spreader"
+)
+
+// OnStatement records what a response states about its leaf.
+func (g leafGate) OnStatement(statement exchanger.Statement) {
+	f, u := g.fleet, g.upstream
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	f.onStatedRate(u, statement, now)
+	f.onStatedRest(u, statement, now)
+	f.onStatedLeaving(u, statement, now)
+}
+
+// onStatedRate records the rate limit of a leaf. Only an executed request shows the end of a limit.
+func (f *fleet) onStatedRate(u *upstream, statement exchanger.Statement, now time.Duration) {
+	stated := statement.RateLimit
+	f.logProblem(u, &u.hasRateProblem, "gatekeeper: rate limit of leaf is invalid", stated.Problem, statement.RequestID)
+	if !stated.IsNamed && (stated.Problem != "" || !statement.HasRun) {
+		return
+	}
+	change := u.leaf.OnRateLimit(stated.IsNamed, stated.PerSecond, now-statement.ResponseTime, now)
+	f.onRateLimitChange(u, change, statement.RequestID, now)
+	if change == limiter.Unchanged {
+		return
+	}
+	limit := u.leaf.RateLimit()
+	f.permits.Report(u.leaf.Fields().ID, u.leaf.Fields().DataCentre, limit)
+	if f.publish != nil {
+		f.publish(spreader.NewRateLimit(u.leaf.Fields().ID, limit.IsLimited(), limit.PerSecond(), limit.SeenAt()))
+	}
+}
+
+// onStatedRest records for how long a leaf wants no requests from this instance.
+func (f *fleet) onStatedRest(u *upstream, statement exchanger.Statement, _ time.Duration) {
+	rest, fields := statement.Rest, u.leaf.Fields()
+	f.logProblem(u, &u.hasRestProblem, "gatekeeper: rest asked for by leaf is invalid", rest.Problem, statement.RequestID)
+	if rest.For <= 0 {
+		return
+	}
+	f.log.Info("gatekeeper: leaf asks for rest", "leaf", fields.ID, "service", fields.Service, "data-centre", fields.DataCentre,
+		"for-ms", rest.For.Milliseconds(), "request", statement.RequestID)
+}
+
+// onStatedLeaving records that a leaf is leaving.
+func (f *fleet) onStatedLeaving(u *upstream, statement exchanger.Statement, _ time.Duration) {
+	if !statement.IsLeaving || u.hasStatedLeaving {
+		return
+	}
+	u.hasStatedLeaving = true
+	fields := u.leaf.Fields()
+	f.log.Info("gatekeeper: leaf states that it is leaving", "leaf", fields.ID, "service", fields.Service, "data-centre", fields.DataCentre,
+		"listed", fields.IsDraining, "request", statement.RequestID)
+}
+
+// logProblem logs the first invalid statement of each leaf and kind.
+func (f *fleet) logProblem(u *upstream, hasProblem *bool, message, problem, requestID string) {
+	if problem == "" || *hasProblem {
+		return
+	}
+	*hasProblem = true
+	fields := u.leaf.Fields()
+	f.log.Info(message, "leaf", fields.ID, "service", fields.Service, "request", requestID, "problem", problem)
+}
