Soak: entry instances that are cut off from all leafs

Entry instances run in the test binary now, the same program with a link to the leafs that can be cut: connections hang, are reset, or live on while new ones are refused. The judge compares first tries at these instances with those at the others, by the users' rule. The link is shared with the tests of gatekeeper, as part of the emulator.

--- a/pkg/gatekeeper/relay_test.go
+++ b/pkg/gatekeeper/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lovagedeck/pkg/aggregator"
+	"lovagedeck/pkg/emulator"
 	"lovagedeck/pkg/router"
 )
 
@@ -56,8 +57,8 @@
 	}
 	modes := []struct {
 		name string
-		mode linkMode
-	}{{"connections hang", linkHangs}, {"connections are reset", linkResets}}
+		mode emulator.LinkMode
+	}{{"connections hang", emulator.LinkHangs}, {"connections are reset", emulator.LinkResets}}
 	for _, route := range routes {
 		for _, m := range modes {
 			t.Run(fmt.Sprintf("%s, %s", route.name, m.name), func(t *testing.T) {
@@ -68,7 +69,7 @@
 				if statuses := g.callAll(http.MethodPost, 300*time.Millisecond); len(statuses) != 1 || statuses[http.StatusOK] == 0 {
 					t.Fatalf("got responses %v before the cut, want only 200", statuses)
 				}
-				g.links[0].cut(m.mode)
+				g.links[0].Cut(m.mode)
 				g.callAll(http.MethodPost, noticeTime)
 				runsBefore := g.runs()
 				statuses := g.callAll(http.MethodPost, time.Second)
@@ -95,7 +96,7 @@
 			g.answerWithServiceNumber()
 			g.configure(t, fields)
 			g.callAll(http.MethodPost, 300*time.Millisecond)
-			g.links[0].cut(linkRefuses)
+			g.links[0].Cut(emulator.LinkRefuses)
 			g.callAll(http.MethodPost, noticeTime)
 			for _, leaf := range g.leafs {
 				leaf.setHandler(func(w http.ResponseWriter, _ *http.Request) {
@@ -121,7 +122,7 @@
 			g.configure(t, fields)
 			g.callAll(http.MethodPost, 300*time.Millisecond)
 			for _, link := range g.links {
-				link.cut(linkHangs)
+				link.Cut(emulator.LinkHangs)
 			}
 			g.callAll(http.MethodPost, noticeTime)
 			runsBefore := g.runs()
@@ -148,9 +149,9 @@
 	g := newCluster(t, relayInstances, shards...)
 	g.configure(t, sweepRoute(shards))
 	g.callAll(http.MethodGet, 300*time.Millisecond)
-	g.links[0].cut(linkHangs)
+	g.links[0].Cut(emulator.LinkHangs)
 	g.callAll(http.MethodGet, noticeTime)
-	g.links[0].cut(linkWorks)
+	g.links[0].Cut(emulator.LinkWorks)
 	if statuses := g.callAll(http.MethodGet, 2*time.Second); len(statuses) != 1 || statuses[http.StatusOK] == 0 {
 		t.Errorf("got responses %v after the cut, want only 200", statuses)
 	}
@@ -180,7 +181,7 @@
 			g.configure(t, test.fields)
 			g.callAll(http.MethodPost, 300*time.Millisecond)
 			runsBefore := g.runs()
-			g.links[0].cut(linkHangs)
+			g.links[0].Cut(emulator.LinkHangs)
 			response, _ := g.request(http.MethodPost, "/p/x", nil)
 			if response == nil || response.StatusCode != test.want {
 				t.Errorf("got %v, want status %d", response, test.want)
@@ -223,7 +224,7 @@
 	g := newCluster(t, relayInstances, shards...)
 	g.configure(t, sweepRoute(shards))
 	g.callAll(http.MethodGet, 300*time.Millisecond)
-	g.links[0].cut(linkHangs)
+	g.links[0].Cut(emulator.LinkHangs)
 	g.callAll(http.MethodGet, noticeTime)
 	reply := g.gate.ServeRelayed(aggregator.RelayQuery{ID: 1, From: "entry-2", Request: "r-2", Route: sweepRoute(shards), CallerLeft: time.Second})
 	if reply.NotRun == "" || !reply.TakesNoWork {
@@ -248,7 +249,7 @@
 			fields.MaxAttempts = 3
 			g.configure(t, fields)
 			g.callAll(http.MethodGet, 300*time.Millisecond)
-			g.links[0].cut(linkHangs)
+			g.links[0].Cut(emulator.LinkHangs)
 			g.callAll(http.MethodGet, noticeTime)
 			for _, leaf := range g.leafs {
 				leaf.setHandler(func(w http.ResponseWriter, _ *http.Request) {
@@ -256,7 +257,7 @@
 					_, _ = w.Write(make([]byte, 16))
 				})
 			}
-			time.AfterFunc(30*time.Millisecond, func() { g.links[1].cut(linkHangs) })
+			time.AfterFunc(30*time.Millisecond, func() { g.links[1].Cut(emulator.LinkHangs) })
 			if statuses := g.callAll(http.MethodGet, 300*time.Millisecond); len(statuses) != 1 || statuses[http.StatusOK] == 0 {
 				t.Errorf("got responses %v, want only 200", statuses)
 			}
--- a/pkg/gatekeeper/slice_test.go
+++ b/pkg/gatekeeper/slice_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"lovagedeck/pkg/aggregator"
+	"lovagedeck/pkg/emulator"
 	"lovagedeck/pkg/hedger"
 	"lovagedeck/pkg/linker"
 	"lovagedeck/pkg/permitter"
@@ -31,7 +32,7 @@
 	rpcServers map[string]*linker.Server
 	// handlers receive the calls from other instances, and links lead to the leafs, in the order of gates.
 	handlers []*testGatherer
-	links    []*leafLink
+	links    []*emulator.LeafLink
 }
 
 // testGatherer wraps the gatekeeper of an instance to inject faults into calls from other instances.
@@ -95,8 +96,8 @@
 	config.Now, config.Permits = g.now, g.permits[len(g.gates)]
 	config.Instance, config.Random, config.Peers = name, rand.New(rand.NewPCG(1, uint64(len(g.gates)))), aggregator.NewPeers(l, config.Now, logr.Discard())
 	config.Budget = hedger.RetryLimit{Ratio: 0.2, Slack: 500, Window: 10 * time.Second}
-	link := newLeafLink()
-	config.Dial = link.dial
+	link := emulator.NewLeafLink()
+	config.Dial = link.Dial
 	gate := New(config)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/pkg/steward/entry.go
+++ b/pkg/steward/entry.go
@@ -78,7 +78,7 @@
 		Decode: func(version uint64, compressed []byte) (*router.Table, error) {
 			return decodeCompressed(decode, version, compressed)
 		},
-		Dial: linker.DialTCP, Now: e.now, Random: rand.New(rand.NewPCG(seed, 1)), Log: log, PublishObservation: e.gossiper.Publish,
+		Dial: settings.dialLeaf(), Now: e.now, Random: rand.New(rand.NewPCG(seed, 1)), Log: log, PublishObservation: e.gossiper.Publish,
 		Peers: e.peers, Permits: e.permitter, MayBeStale: e.mayBeStale,
 	})
 	e.controlClient = controller.NewClient(controller.ClientConfig{
--- a/pkg/steward/settings.go
+++ b/pkg/steward/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagedeck/pkg/linker"
 	"lovagedeck/pkg/router"
 )
 
@@ -58,6 +59,8 @@
 		// ListCallsPerSecond is the rate limit of the platform for calls that fetch the list of leafs, for all instances
 		// together. 0 means no limit.
 		ListCallsPerSecond float64
+		// DialLeaf opens connections to leafs within the timeout. If nil, they are opened with TCP.
+		DialLeaf func(address string, timeout time.Duration) (net.Conn, error)
 	}
 
 	// DecodeFunc builds the routing table of a routing document. It returns an error if the document is invalid or has
@@ -84,6 +87,14 @@
 	return nil
 }
 
+// dialLeaf returns the function that opens connections to leafs.
+func (s Settings) dialLeaf() func(address string, timeout time.Duration) (net.Conn, error) {
+	if s.DialLeaf != nil {
+		return s.DialLeaf
+	}
+	return linker.DialTCP
+}
+
 const (
 	// bodyMemoryShare is the share of the memory limit that bodies may use. About as much again is garbage that the collector has
 	// not freed yet, and connections and tables need the rest.
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -44,6 +44,11 @@
 		newestInUse map[string]observedVersion
 		// limits are the rate limits that leafs state, keyed by leaf ID.
 		limits       map[string]*judgedLimit
+		reachability reachability
+		// cutProcesses are the instances that are cut off from the leafs, cutCount their number and cutEndedAt the end of the last cut.
+		cutProcesses map[*process]bool
+		cutCount     int
+		cutEndedAt   time.Time
 		violations   []string
 		servedCount  int
 		partialCount int
@@ -76,7 +81,8 @@
 	return &checker{
 		startedAt: time.Now(), executions: map[string]int{}, requests: map[string]sentRequest{}, refusedIDs: map[string]bool{},
 		drainingSince: map[string]time.Time{}, outOfServiceSince: map[string]time.Time{}, newestInUse: map[string]observedVersion{},
-		limits: map[string]*judgedLimit{}, coreLostFor: map[string]time.Duration{},
+		cutProcesses: map[*process]bool{},
+		limits:       map[string]*judgedLimit{}, coreLostFor: map[string]time.Duration{},
 	}
 }
 
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -50,8 +50,10 @@
 		terminatedAt     time.Time
 		lastFaultAt      time.Time
 		wipedAt          time.Time
-		isShutDown       bool
-		ended            chan bool
+		// cutSince is when the process was cut off from the leafs, or zero.
+		cutSince   time.Time
+		isShutDown bool
+		ended      chan bool
 		// pendingActions are run once, between the exit of the process and its next start.
 		pendingActions []func()
 	}
@@ -218,8 +220,7 @@
 			d.t.Errorf("open the log file of %s: %v", p.name, err)
 			return
 		}
-		command := exec.Command(d.binary, p.subcommand)
-		command.Env = []string{"LOVAGEDECK_CONFIG=" + p.settingsPath, "GOMAXPROCS=1"}
+		command := d.newCommand(p)
 		command.Stdout, command.Stderr = output, output
 		p.mu.Lock()
 		if p.isShutDown {
@@ -242,6 +243,18 @@
 	}
 }
 
+// newCommand returns the command that runs the process. Entry instances run in the test binary, with links to the leafs that can be
+// cut.
+func (d *deployment) newCommand(p *process) *exec.Cmd {
+	command := exec.Command(d.binary, p.subcommand)
+	command.Env = []string{"LOVAGEDECK_CONFIG=" + p.settingsPath, "GOMAXPROCS=1"}
+	if p.subcommand == "entry" {
+		command.Path, command.Args[0] = os.Args[0], os.Args[0]
+		command.Env = append(command.Env, cutFileVariable+"="+d.cutFile(p))
+	}
+	return command
+}
+
 func (d *deployment) close() {
 	for _, p := range d.processes {
 		p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,6 +95,7 @@
 	}
 	tr.finish()
 	checkFinalDocument(t, d, tr)
+	c.checkReachability()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, violation := range c.violations {
@@ -103,8 +104,8 @@
 	if c.servedCount < 50 {
 		t.Errorf("seed %d: %d requests were served, want at least 50", seed, c.servedCount)
 	}
-	t.Logf("seed %d: %d served (%d partial), %d refused, %d failed, %d documents, %d faults injected: %v",
-		seed, c.servedCount, c.partialCount, c.refusedCount, c.failedCount, len(c.acknowledged), len(f.injected), f.injected)
+	t.Logf("seed %d: %d served (%d partial), %d refused, %d failed, %d documents, %d faults injected: %v, requests of cut-off instances %+v",
+		seed, c.servedCount, c.partialCount, c.refusedCount, c.failedCount, len(c.acknowledged), len(f.injected), f.injected, c.reachability)
 }
 
 // startTraffic starts the leafs and the instances, and once these serve the first document, the callers and the operator.
@@ -204,6 +205,7 @@
 		{"rate limits", f.limitLeafs},
 		{"invalid rate limits", f.stateInvalidRates},
 		{"data centre orders", f.orderDataCentres},
+		{"cut entries off leafs", f.cutEntriesOff},
 	}
 	if f.kindCount > 0 {
 		kinds = kinds[:f.kindCount]
@@ -232,6 +234,9 @@
 			p.orderProxy.setMode(modeForward)
 		}
 	}
+	for _, p := range f.deployment.entries() {
+		f.cutOff(p, "")
+	}
 	for _, l := range f.deployment.fleet.all() {
 		l.setFault("")
 		l.proxy.setMode(modeForward)
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -117,6 +117,10 @@
 	request.Host = plainHost
 	request.Header.Set("X-Lovagedeck-Request-Id", id)
 	request.Header.Set("X-Lovagedeck-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
+	isServed := false
+	if wasCut := p.isCut(); wasCut || p.isUncut() && tr.deployment.hasCutEntry() {
+		defer func() { tr.deployment.checker.recordOutcome(wasCut, isServed) }()
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		tr.deployment.checker.countFailure()
@@ -130,6 +134,7 @@
 		}
 		return
 	}
+	isServed = response.StatusCode == http.StatusOK
 	tr.deployment.checker.checkResponse(id, sent, shards, minParts, topK, response, content)
 }
 
