Soak: leafs that ask for rest, validly or not, and leafs that state that they are leaving

The judge counts requests that reach a leaf in a rest, by the users' bound, and those from 4 s after an instance has passed on the statement that a leaf is leaving, before the list shows it.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -49,6 +49,8 @@
 		cutProcesses map[*process]bool
 		cutCount     int
 		cutEndedAt   time.Time
+		rests        map[leafAndRun]*judgedRest
+		leavingSince map[leafAndRun]time.Time
 		violations   []string
 		servedCount  int
 		partialCount int
@@ -81,8 +83,8 @@
 	return &checker{
 		startedAt: time.Now(), executions: map[string]int{}, requests: map[string]sentRequest{}, refusedIDs: map[string]bool{},
 		drainingSince: map[string]time.Time{}, outOfServiceSince: map[string]time.Time{}, newestInUse: map[string]observedVersion{},
-		cutProcesses: map[*process]bool{},
-		limits:       map[string]*judgedLimit{}, coreLostFor: map[string]time.Duration{},
+		cutProcesses: map[*process]bool{}, rests: map[leafAndRun]*judgedRest{}, leavingSince: map[leafAndRun]time.Time{},
+		limits: map[string]*judgedLimit{}, coreLostFor: map[string]time.Duration{},
 	}
 }
 
@@ -124,6 +126,7 @@
 	if since, ok := c.drainingSince[l.id]; ok && time.Since(since) > drainLimit {
 		c.reportViolation("leaf %s got request %s %v after it started draining", l.id, id, time.Since(since))
 	}
+	c.checkLeaving(l.id, id)
 	if since, ok := c.outOfServiceSince[l.zone]; ok && time.Since(since) > c.outOfServiceLimitOf(l.zone) {
 		c.reportViolation("leaf %s in data centre %s got request %s %v after the data centre was taken out of service", l.id, l.zone, id, time.Since(since))
 	}
--- a/soak/leafs_test.go
+++ b/soak/leafs_test.go
@@ -36,8 +36,12 @@
 		fault string
 		// statedRates are the rate limits that the leaf states in its responses, none if empty.
 		statedRates []string
-		isDraining  bool
-		warmUpEnd   time.Time
+		// rest is the Retry-After of refusals with fault "rest".
+		rest string
+		// statesLeaving makes the leaf state in its responses that it is leaving.
+		statesLeaving bool
+		isDraining    bool
+		warmUpEnd     time.Time
 	}
 
 	// fleet holds the simulated leafs and serves the platform's list of them.
@@ -184,6 +188,8 @@
 		return
 	}
 	l.checker.checkArrival(l.id, id)
+	l.checker.checkRest(l.id, id)
+	l.stateLeaving(w, id)
 	select {
 	case l.slots <- true:
 		defer func() { <-l.slots }()
@@ -193,6 +199,10 @@
 		return
 	}
 	fault := l.currentFault()
+	if fault == "rest" {
+		l.refuseForRest(w, id)
+		return
+	}
 	if fault == "shed" {
 		l.stateRates(w, id)
 		reject(w, http.StatusServiceUnavailable)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -206,6 +206,8 @@
 		{"invalid rate limits", f.stateInvalidRates},
 		{"data centre orders", f.orderDataCentres},
 		{"cut entries off leafs", f.cutEntriesOff},
+		{"leafs rest", f.restLeafs},
+		{"leafs state leaving", f.stateLeaving},
 	}
 	if f.kindCount > 0 {
 		kinds = kinds[:f.kindCount]
