Count the attempts of an instance that was cut off while it served a relayed request

The instance that serves a relayed request may use all attempts that are left; when it was cut off in between, one was counted and a third instance used another. It now reports what it has used, and after a lost reply all attempts count as used. TestAttemptsOfInstanceThatIsCutOffCount failed before (0 counted).

--- a/pkg/aggregator/wire.go
+++ b/pkg/aggregator/wire.go
@@ -130,9 +130,11 @@
 		TakesNoWork bool
 		// IsCutOff is set if the instance reached no leaf any more before it had a response. The request may have run.
 		IsCutOff bool
-		Status   int
-		Header   map[string][]string
-		Body     []byte
+		// UsedAttempts is the number of further attempts, for each shard, that leafs may have run if IsCutOff is set.
+		UsedAttempts int
+		Status       int
+		Header       map[string][]string
+		Body         []byte
 	}
 )
 
--- a/pkg/gatekeeper/plain.go
+++ b/pkg/gatekeeper/plain.go
@@ -90,6 +90,7 @@
 				return
 			}
 		case <-ctx.Done():
+			in.usedAttempts = f.prior().used
 			g.counters.callersDisconnected.Inc()
 			g.config.Log.Info("gatekeeper: the caller left", "request", in.id, "asked", len(f.tried))
 			panic(http.ErrAbortHandler)
--- a/pkg/gatekeeper/relay.go
+++ b/pkg/gatekeeper/relay.go
@@ -77,8 +77,11 @@
 			return true
 		}
 		mayHaveRun, reason = true, "the instance that served the request did not answer"
-		prior.used++
 		prior.isCounted = true
+		if prior.used += reply.UsedAttempts; err != nil {
+			// The instance may have used all attempts.
+			prior.used = in.route.MaxAttempts()
+		}
 		if ctx.Err() != nil {
 			g.counters.callersDisconnected.Inc()
 			panic(http.ErrAbortHandler)
--- a/pkg/gatekeeper/relay_test.go
+++ b/pkg/gatekeeper/relay_test.go
@@ -239,6 +239,32 @@
 	}
 }
 
+// The instance that serves a relayed request is cut off as well, after it has used an attempt or two. A third instance may use only
+// what is left.
+func TestAttemptsOfInstanceThatIsCutOffCount(t *testing.T) {
+	shards := shardNames(2)
+	for _, fields := range []router.RouteFields{sweepRoute(shards), cardRoute(true)} {
+		t.Run(fields.Name, func(t *testing.T) {
+			t.Parallel()
+			g := newCluster(t, relayInstances, shards...)
+			for _, leaf := range g.leafs {
+				leaf.setHandler(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			}
+			g.configure(t, fields)
+			query := aggregator.RelayQuery{
+				ID: 1, From: "entry-1", Request: "r-1", Head: []byte("GET /p/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n"),
+				Route: fields, CallerLeft: 2 * time.Second,
+			}
+			query.Route.Timeout = 2 * time.Second
+			time.AfterFunc(300*time.Millisecond, func() { g.links[1].Cut(emulator.LinkHangs) })
+			reply := g.gates[1].ServeRelayed(query)
+			if runs := g.runs() / int64(len(g.leafs)/2); !reply.IsCutOff || int64(reply.UsedAttempts) < max(1, runs) {
+				t.Errorf("got %+v, want cut off with at least the %d attempts that each shard got", reply, runs)
+			}
+		})
+	}
+}
+
 // The instance that serves a relayed request is cut off as well. A third one serves it.
 func TestRelayedRequestMovesOnWhenItsInstanceIsCutOff(t *testing.T) {
 	shards := shardNames(6)
--- a/pkg/gatekeeper/relayed.go
+++ b/pkg/gatekeeper/relayed.go
@@ -62,9 +62,10 @@
 	if query.Route.Idempotent {
 		go cancelOn(ctx, cutOff, cancel)
 	}
-	g.serveBuffered(ctx, response, g.newRelayedRequest(query))
+	in := g.newRelayedRequest(query)
+	g.serveBuffered(ctx, response, in)
 	if response.status == http.StatusBadGateway && isClosed(cutOff) {
-		return aggregator.RelayReply{IsCutOff: true, TakesNoWork: true}
+		return aggregator.RelayReply{IsCutOff: true, TakesNoWork: true, UsedAttempts: in.usedAttempts}
 	}
 	return aggregator.RelayReply{Status: response.status, Header: response.header, Body: response.body}
 }
--- a/pkg/gatekeeper/request.go
+++ b/pkg/gatekeeper/request.go
@@ -35,6 +35,8 @@
 		isRelayed  bool
 		isCounted  bool
 		mayHaveRun bool
+		// usedAttempts is the number of attempts, for each shard, that leafs may have run, set when the request is aborted.
+		usedAttempts int
 	}
 )
 
--- a/pkg/gatekeeper/scatter.go
+++ b/pkg/gatekeeper/scatter.go
@@ -104,6 +104,7 @@
 				return
 			}
 		case <-ctx.Done():
+			in.usedAttempts = q.prior().used
 			g.counters.callersDisconnected.Inc()
 			g.config.Log.Info("gatekeeper: the caller left", "request", in.id, "parts", q.execution.Parts())
 			panic(http.ErrAbortHandler)
