--- a/pkg/gatekeeper/fleet_budget.go
+++ b/pkg/gatekeeper/fleet_budget.go
@@ -8,10 +8,8 @@
 // count counts a request once: at the instance of its caller, and for the services at the instance that sends it to their leafs.
 func (f *fleet) count(in *inboundRequest, services []string) {
 	switch {
-	case in.isCounted && !in.isRelayed:
-		f.countSlice(services)
-	case in.isCounted:
-	case in.isRelayed:
+	case in.isRelayed && in.isCounted:
+	case in.isRelayed || in.isCounted:
 		f.countSlice(services)
 	default:
 		f.countRequest(services)
@@ -26,8 +24,8 @@
 	f.countServices(services)
 }
 
-// countSlice counts one request to each service of a slice. The caller's request is counted by the instance that
-// received it.
+// countSlice counts one request to each service of a slice, or of a request of a caller that has been counted, here or by another
+// instance.
 func (f *fleet) countSlice(services []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/gatekeeper/relay.go
+++ b/pkg/gatekeeper/relay.go
@@ -28,7 +28,9 @@
 	helperGrowthInterval = 100 * time.Millisecond
 	// cutOffRetryAfter is the Retry-After of a request that no instance could take.
 	cutOffRetryAfter = 300 * time.Millisecond
-	reasonCutOff     = "this instance reaches no leaf, and no other instance took the request"
+	// reasonCutOff and reasonNoReply are the reasons of refusals.
+	reasonCutOff  = "this instance reaches no leaf, and no other instance took the request"
+	reasonNoReply = "the instance that served the request did not answer"
 )
 
 type (
@@ -40,7 +42,7 @@
 		isCounted bool
 	}
 
-	// helperSet holds the instances that serve requests of this one while it reaches no leaf.
+	// helperSet holds the instances that serve requests of this one while it reaches no leaf: size of them, last increased at grown.
 	helperSet struct {
 		names []string
 		size  int
@@ -76,7 +78,7 @@
 			g.writeRelayed(w, in, reply, mayHaveRun)
 			return true
 		}
-		mayHaveRun, reason = true, "the instance that served the request did not answer"
+		mayHaveRun, reason = true, reasonNoReply
 		prior.isCounted = true
 		if prior.used += reply.UsedAttempts; err != nil {
 			// The instance may have used all attempts.
--- a/pkg/gatekeeper/request.go
+++ b/pkg/gatekeeper/request.go
@@ -31,7 +31,8 @@
 		deadline  time.Time
 		request   exchanger.Request
 		// isRelayed is set if another instance received the request, which must not be relayed again. isCounted is set if the
-		// request has been counted for the retry budgets, and mayHaveRun if a leaf may have run it already.
+		// request has been counted: of an own caller, in the total; of another instance's, for its services as well. mayHaveRun is set
+		// if a leaf may have run it already.
 		isRelayed  bool
 		isCounted  bool
 		mayHaveRun bool
