--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -25,7 +25,8 @@
 )
 
 const (
-	// memberRetention is how long an instance that has left keeps its rank, so that a restart moves no connections.
+	// memberRetention is how long an instance that has left keeps its rank, so that a restart moves no connections, and may be asked to
+	// serve requests: it may only have lost contact with the control instances.
 	memberRetention = time.Minute
 )
 
@@ -80,10 +81,11 @@
 		mayBeStale func() bool
 	}
 
-	// recentMember records when an instance was last a member, and in which data centre.
+	// recentMember records when an instance was last a member, in which data centre, and its address for other instances.
 	recentMember struct {
 		lastSeenAt time.Duration
 		dataCentre string
+		address    string
 	}
 
 	service struct {
@@ -224,7 +226,7 @@
 	now := f.now()
 	f.recentMembers[f.self] = recentMember{lastSeenAt: now, dataCentre: f.dataCentre}
 	for _, member := range members {
-		f.recentMembers[member.Instance()] = recentMember{lastSeenAt: now, dataCentre: member.DataCentre()}
+		f.recentMembers[member.Instance()] = recentMember{lastSeenAt: now, dataCentre: member.DataCentre(), address: member.PeerAddress()}
 	}
 	f.members, f.addresses = make([]slicer.Member, 0, len(members)), make(map[string]string, len(members))
 	for _, member := range members {
--- a/pkg/gatekeeper/relay.go
+++ b/pkg/gatekeeper/relay.go
@@ -183,7 +183,7 @@
 			available = append(available, name)
 		}
 	}
-	if now := f.now(); len(available) < minHelpers && now-f.helpers.grown >= helperGrowthInterval && f.helpers.size < len(f.members) {
+	if now := f.now(); len(available) < minHelpers && now-f.helpers.grown >= helperGrowthInterval && f.helpers.size < len(f.recentMembers) {
 		f.helpers.size, f.helpers.grown = 2*f.helpers.size, now
 		f.updatePeers()
 	}
@@ -196,13 +196,17 @@
 	if f.peers == nil {
 		return
 	}
-	f.helpers.names = slicer.Helpers(f.self, f.members, f.helpers.size)
+	candidates := make([]slicer.Member, 0, len(f.recentMembers))
+	for name, member := range f.recentMembers {
+		candidates = append(candidates, slicer.Member{Instance: name, DataCentre: member.dataCentre})
+	}
+	f.helpers.names = slicer.Helpers(f.self, candidates, f.helpers.size)
 	peers := maps.Clone(f.assignment.peers)
 	if peers == nil {
 		peers = map[string]string{}
 	}
 	for _, name := range f.helpers.names {
-		if address := f.addresses[name]; address != "" {
+		if address := f.recentMembers[name].address; address != "" {
 			peers[name] = address
 		}
 	}
--- a/pkg/gatekeeper/relay_test.go
+++ b/pkg/gatekeeper/relay_test.go
@@ -12,6 +12,7 @@
 	"lovagedeck/pkg/emulator"
 	"lovagedeck/pkg/router"
 	"lovagedeck/pkg/spreader"
+	"lovagedeck/pkg/tabulator"
 )
 
 const (
@@ -195,6 +196,19 @@
 	}
 }
 
+// The control instances restart, and the new view lacks the instances that have not renewed their leases yet. They still serve.
+func TestHelpersOutliveTheirMembership(t *testing.T) {
+	g := newCluster(t, relayInstances, "s00")
+	g.configure(t, cardRoute(true))
+	g.callAll(http.MethodGet, 300*time.Millisecond)
+	g.gate.SetView(tabulator.NewView())
+	g.links[0].Cut(emulator.LinkHangs)
+	g.callAll(http.MethodGet, noticeTime)
+	if statuses := g.callAll(http.MethodGet, 500*time.Millisecond); len(statuses) != 1 || statuses[http.StatusOK] == 0 {
+		t.Errorf("got responses %v, want only 200", statuses)
+	}
+}
+
 // A relayed request uses no more attempts than its route allows, and is counted for the retry budget once.
 func TestRelayedRequestKeepsAttemptsAndBudget(t *testing.T) {
 	g := newCluster(t, relayInstances, "s00")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -56,6 +56,8 @@
 	{2008, 19, "an outdated list of leafs was in use, so a draining leaf got requests: without a majority of the control instances " +
 		"the list was not forwarded, and an instance partitioned from the one that reads it granted leases with its old list"},
 	{8015, 24, "leafs in a data centre that was out got requests: three of five control instances were lost, which the check did not allow for"},
+	{9232, 27, "an instance without leafs refused its requests: the control instances had been lost, and their new view lacked the only " +
+		"instance that could serve them"},
 	{8018, 24, "a leaf that states a rate limit got more: only hedges reached it, and what their abandoned responses stated was dropped"},
 }
 
