Review: a rolling restart cuts off requests that were accepted late

All front machines are restarted in turn, 1 s apart. Where fewer than half of a zone's machines are in rotation, the platform sends new connections to all of them. A machine that is shutting down goes on accepting requests until it happens to be idle or 0.3 s before the end of its grace period, and then exits with requests at leafs: their connections end without an answer.

Cause: Shutdown sets no time after which requests are turned away, so that the accepted ones could end.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,7 +10,8 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(r *record, hasTrouble bool) error{
-	"relay": runRelay,
+	"relay":    runRelay,
+	"restarts": runRestarts,
 }
 
 func main() {
