--- a/review/standin/leaf.go
+++ b/review/standin/leaf.go
@@ -20,9 +20,11 @@
 		leaf    string
 		request string
 		// front is the machine that the connection belongs to, as far as it is known.
-		front   string
-		at      time.Time
-		endedAt time.Time
+		front string
+		// arrivedAt is when the leaf had read the request, at is when it began to run it.
+		arrivedAt time.Time
+		at        time.Time
+		endedAt   time.Time
 	}
 
 	// leafs are all leafs of a case.
@@ -182,6 +184,16 @@
 	c.reset()
 }
 
+// end closes the leaf, with all its connections.
+func (l *leaf) end() {
+	l.refuse()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.reset()
+	}
+}
+
 // conns returns the open connections of the front machine at all leafs.
 func (s *leafs) conns(front string) []*leafConn {
 	s.mu.Lock()
@@ -219,6 +231,7 @@
 		if err != nil || !c.awaitPassage() {
 			return
 		}
+		arrivedAt := time.Now()
 		id := request.Header.Get("X-Lovagedeck-Request-Id")
 		if c.owner() == "" {
 			c.setOwner(frontOf(id))
@@ -239,7 +252,7 @@
 			continue
 		}
 		l.slots <- struct{}{}
-		done := l.set.begin(l, c, id)
+		done := l.set.begin(l, c, id, arrivedAt)
 		time.Sleep(l.work(request))
 		done()
 		<-l.slots
@@ -269,8 +282,8 @@
 }
 
 // begin records a run and returns a function that ends it.
-func (s *leafs) begin(l *leaf, c *leafConn, id string) func() {
-	r := &run{leaf: l.id, request: id, front: c.owner(), at: time.Now()}
+func (s *leafs) begin(l *leaf, c *leafConn, id string, arrivedAt time.Time) func() {
+	r := &run{leaf: l.id, request: id, front: c.owner(), arrivedAt: arrivedAt, at: time.Now()}
 	s.mu.Lock()
 	s.runs = append(s.runs, r)
 	onRun := s.onRun
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -69,6 +70,14 @@
 	return time.Now()
 }
 
+// remove takes a leaf off the list.
+func (p *platform) remove(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries = slices.DeleteFunc(p.entries, func(e listEntry) bool { return e.ID == id })
+	p.record.addAndPrint("the list shows leaf %s no more", id)
+}
+
 func (p *platform) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != "/instances" {
 		http.NotFound(w, r)
