Review: case 1 disrupts only the machines that it names

Both partitions now end when the leaf has done the work, within 2 s; no other load is under way; and the script reads how many connections the other machines failed to open, and counts as not run if there was one.

--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -2,30 +2,32 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	// cutDuration is how long a front machine is partitioned from all leafs.
-	cutDuration = 12 * time.Second
-	// keepAliveFailure is after how long the TCP keep-alive of the program ends a silent connection: it is set to probe after 5 s of
-	// silence and to give up after three probes, 1 s apart. A loopback connection cannot lose packets, so the stand-in resets it then.
-	keepAliveFailure = 8 * time.Second
-	orderLimit       = 15 * time.Second
-	orderWork        = 400 * time.Millisecond
+	orderLimit = 15 * time.Second
+	// orderWork is what a cert-check takes at most.
+	orderWork  = 1300 * time.Millisecond
+	lookupWork = 10 * time.Millisecond
+	// detectionTime is the time in which the first machine finds out that it reaches no leaf.
+	detectionTime = 500 * time.Millisecond
 	// secondCutDelay is how long an order has run when the machine that sent it is partitioned.
 	secondCutDelay = 100 * time.Millisecond
-	lookupWork     = 10 * time.Millisecond
-	// lookupPause is the pause between the lookups of one client.
-	lookupPause = 50 * time.Millisecond
-	// lookupClients is the number of clients of each front machine that send lookups.
-	lookupClients = 2
+	// lookupPause is the mean pause between two lookups of a client, of which each front machine has lookupClients until the partition.
+	lookupPause   = 30 * time.Millisecond
+	lookupClients = 3
 )
 
-// runRelay partitions two of five front machines from all leafs for 12 s. A client sends an unsafe request to the first one, which has
-// another machine serve it. That is the second one, which is partitioned while the leaf works on the request.
+// runRelay partitions two of five front machines from all leafs for up to 2.5 s. A client sends an unsafe request to the first one, which has
+// another machine serve it. That is the second one, which is partitioned while the leaf works on the request; its connections hang
+// and are reset at the end. The leafs can refuse new connections of all machines only, so that the case counts as not run if one of the
+// other three was refused a connection.
 func runRelay(r *record, hasTrouble bool) error {
 	zones := []string{"inv-a", "inv-b", "inv-c"}
 	d, err := newDeployment(r, zones, []string{"inv-a", "inv-a", "inv-b", "inv-b", "inv-c"})
@@ -68,11 +70,14 @@
 	}
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	defer func() { close(stop); clients.Wait() }()
 	for _, m := range d.fronts {
-		clients.Go(func() { lookUp(r, m, stop) })
+		for range lookupClients {
+			clients.Go(func() { lookUp(r, m, stop) })
+		}
 	}
 	time.Sleep(6 * time.Second)
+	close(stop)
+	clients.Wait()
 
 	first := d.fronts[0]
 	served := make(chan string, 1)
@@ -84,6 +89,12 @@
 			}
 		}
 	})
+	refusedBefore := map[string]int{}
+	for _, m := range d.fronts {
+		if refusedBefore[m.name], err = m.refusedConnections(); err != nil {
+			return err
+		}
+	}
 	if hasTrouble {
 		r.addAndPrint("%s is partitioned from all leafs: its connections are reset, new ones refused", first.name)
 		for _, l := range set.all {
@@ -92,20 +103,13 @@
 		for _, c := range append(set.conns(first.name), set.conns("")...) {
 			c.breakOff()
 		}
-		time.AfterFunc(cutDuration, func() {
-			r.addAndPrint("the partitions end")
-			for _, l := range set.all {
-				if err := l.listen(); err != nil {
-					r.addAndPrint("leaf %s: %v", l.id, err)
-				}
-			}
-		})
-		time.Sleep(time.Second)
+		go lookUpOnce(r, first)
+		time.Sleep(detectionTime)
 	}
 	answered := make(chan outcome, 1)
 	go func() { answered <- order(r, first) }()
+	second := ""
 	if hasTrouble {
-		var second string
 		select {
 		case second = <-served:
 		case <-time.After(3 * time.Second):
@@ -115,17 +119,21 @@
 			return fmt.Errorf("the order was sent by %q, not by another machine", second)
 		}
 		time.Sleep(secondCutDelay)
-		hung := set.conns(second)
-		r.addAndPrint("%s, which has sent the order to a leaf, is partitioned from all leafs: its %d connections hang, new ones are refused", second, len(hung))
-		for _, c := range hung {
+		cut := set.conns(second)
+		r.addAndPrint("%s, which has sent the order to a leaf, is partitioned from all leafs: nothing passes on its %d connections, new ones are refused", second, len(cut))
+		for _, c := range cut {
 			c.startHang()
 		}
-		time.AfterFunc(keepAliveFailure, func() {
-			r.addAndPrint("the hanging connections of %s end, as TCP keep-alive has found them dead", second)
-			for _, c := range hung {
-				c.breakOff()
+		time.Sleep(orderWork - secondCutDelay)
+		for _, l := range set.all {
+			if err := l.listen(); err != nil {
+				return err
 			}
-		})
+		}
+		for _, c := range cut {
+			c.breakOff()
+		}
+		r.addAndPrint("both partitions end, and the connections of %s that hung are reset", second)
 	}
 	o := <-answered
 	runs := set.runsOf(o.id)
@@ -133,6 +141,17 @@
 	for _, run := range runs {
 		r.addAndPrint("    run at leaf %s, sent by %s, from %.3f s", run.leaf, run.front, run.at.Sub(r.startedAt).Seconds())
 	}
+	for _, m := range d.fronts {
+		refused, err := m.refusedConnections()
+		if err != nil {
+			return err
+		}
+		refused -= refusedBefore[m.name]
+		r.addAndPrint("%s was refused %d connections to leafs", m.name, refused)
+		if refused > 0 && m != first && m.name != second {
+			return fmt.Errorf("%s, which is not partitioned, was refused a connection", m.name)
+		}
+	}
 	if len(runs) > 1 {
 		return fmt.Errorf("%w: TWICE: one unsafe request ran %d times", errBroken, len(runs))
 	}
@@ -150,34 +169,59 @@
 	return c.send(r, m, id, http.MethodPost, "/order/1", []byte("certificate 1\n"), orderLimit)
 }
 
-// lookUp sends safe requests to a machine on kept connections until stop.
+// lookUp sends safe requests to a machine on a kept connection until stop.
 func lookUp(r *record, m *machine, stop <-chan struct{}) {
-	var clients sync.WaitGroup
-	for range lookupClients {
-		clients.Go(func() {
-			var c *callerConn
-			for {
-				select {
-				case <-stop:
-					if c != nil {
-						c.close()
-					}
-					return
-				case <-time.After(lookupPause):
-				}
-				if c == nil {
-					var err error
-					if c, err = connect(m); err != nil {
-						c = nil
-						continue
-					}
-				}
-				if o := c.send(r, m, newRequestID("b:"+m.name), http.MethodGet, "/lookup/1", nil, 3*time.Second); o.err != nil || o.closes {
-					c.close()
-					c = nil
-				}
+	var c *callerConn
+	for {
+		select {
+		case <-stop:
+			if c != nil {
+				c.close()
 			}
-		})
+			return
+		case <-time.After(lookupPause):
+		}
+		if c == nil {
+			var err error
+			if c, err = connect(m); err != nil {
+				c = nil
+				continue
+			}
+		}
+		if o := c.send(r, m, newRequestID("b:"+m.name), http.MethodGet, "/lookup/1", nil, 3*time.Second); o.err != nil || o.closes {
+			c.close()
+			c = nil
+		}
 	}
-	clients.Wait()
+}
+
+// lookUpOnce sends one safe request to a machine.
+func lookUpOnce(r *record, m *machine) {
+	c, err := connect(m)
+	if err != nil {
+		r.add("cannot connect to %s", m.name)
+		return
+	}
+	defer c.close()
+	_ = c.send(r, m, newRequestID("b:"+m.name), http.MethodGet, "/lookup/1", nil, 3*time.Second)
+}
+
+// refusedConnections returns how many connections to leafs the machine has tried to open in vain, as its metrics state.
+func (m *machine) refusedConnections() (int, error) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(fmt.Sprintf("http://%s:%d/metrics", m.ip, lastPort))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	for _, line := range strings.Split(string(content), "\n") {
+		if value, ok := strings.CutPrefix(line, "gatekeeper_connections_failed_total "); ok {
+			return strconv.Atoi(value)
+		}
+	}
+	return 0, fmt.Errorf("%s states no failed connections", m.name)
 }
