Reject answers whose status is not between 100 and 599

Callers got an answer with the status 000 of a leaf in trouble as a status 200, with its body and stamp, on every way through an instance: plain, query, relayed and gathered. An answer from 001 to 099 was skipped like an interim one, and what followed it was taken for the answer.

Cause: fasthttp keeps the status as a number, reads 0 as "not set" and returns 200 for it, and nothing compared the digits with the range of the protocol. It can't be told after parsing, so the head is verified before. The same clients read the list of leafs, the answers of the product's own leafs, and those of instances to operators' and callers' programs, which took the status 000 for 200 as well.

Change: verifier.Head follows the bytes of a head; exchanger verifies a head in its buffer before it is parsed, verifier.Conn does it for the readers that use fasthttp's own. An invalid head ends the attempt as a broken answer: the connection is closed, the request counts as one that may have run, and another leaf is asked only where the route allows it. Clients don't send a GET again after one, so that a list that answers so gets one call and not five. RFC 9110 treats 600 to 999 as a failure of the server; such an answer ends as one now (502, or another leaf) and its status is no longer passed on.

cut_test.go and broken_test.go share the checks for relayed and gathered requests, which were moved unchanged.

--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"lovagedeck/pkg/verifier"
 )
 
 const clientTimeout = 70 * time.Second
@@ -37,6 +39,7 @@
 	for _, option := range options {
 		option(client)
 	}
+	verifier.Protect(&client.http)
 	return client
 }
 
--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lovagedeck/pkg/retrier"
+	"lovagedeck/pkg/verifier"
 )
 
 const (
@@ -253,9 +254,13 @@
 }
 
 func (c *conn) readHead(response *fasthttp.Response) error {
-	if err := c.checkFraming(); err != nil {
+	head, err := c.peekHead()
+	if err != nil {
 		return err
 	}
+	if isAmbiguous(head) {
+		return ErrInvalidFraming
+	}
 	if err := response.Header.Read(c.reader); err != nil {
 		return err
 	}
@@ -265,26 +270,30 @@
 	return nil
 }
 
-// checkFraming rejects a head that has a Transfer-Encoding and another version than HTTP/1.1. fasthttp would ignore the encoding and
-// take the chunks for the body.
-func (c *conn) checkFraming() error {
-	if version, err := c.reader.Peek(len(versionPrefix)); err != nil || string(version) == versionPrefix {
-		return err
-	}
-	for {
-		head, _ := c.reader.Peek(c.reader.Buffered())
-		if end := bytes.Index(head, []byte("\r\n\r\n")); end >= 0 {
-			if bytes.Contains(bytes.ToLower(head[:end]), []byte("\ntransfer-encoding")) {
-				return ErrInvalidFraming
-			}
-			return nil
+// peekHead waits until the buffer holds a whole and valid head, and returns it without reading it.
+func (c *conn) peekHead() ([]byte, error) {
+	var head verifier.Head
+	for length := 0; ; {
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		validBytes, err := head.Verify(buffered[length:])
+		if err != nil {
+			return nil, err
+		}
+		if length += validBytes; head.IsComplete() {
+			return buffered[:length], nil
 		}
-		if _, err := c.reader.Peek(len(head) + 1); err != nil {
-			return err
+		if _, err := c.reader.Peek(length + 1); err != nil {
+			return nil, err
 		}
 	}
 }
 
+// isAmbiguous reports whether a head has a Transfer-Encoding and another version than HTTP/1.1. fasthttp would ignore the encoding and
+// take the chunks for the body.
+func isAmbiguous(head []byte) bool {
+	return !bytes.HasPrefix(head, []byte(versionPrefix)) && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding"))
+}
+
 // deliver completes the exchange and reports whether the connection may carry another one.
 func (c *conn) deliver(exchange *Exchange, response *fasthttp.Response, reserved int64) bool {
 	c.keepAlive = keepAliveTimeout(response)
--- /dev/null
+++ b/pkg/gatekeeper/broken_test.go
@@ -0,0 +1,120 @@
+package gatekeeper
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lovagedeck/pkg/aggregator"
+	"lovagedeck/pkg/router"
+)
+
+// brokenAnswer is an answer of a leaf in trouble. No caller may get it.
+type brokenAnswer struct {
+	name string
+	head string
+	body string
+}
+
+// newBrokenAnswers returns answers that name request r-1.
+func newBrokenAnswers() []brokenAnswer {
+	const lines = "Request-Id: r-1\r\nProof: proof-of-cut\r\nContent-Length: 16\r\n\r\n"
+	var answers []brokenAnswer
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		answers = append(answers, brokenAnswer{"status " + status, "HTTP/1.1 " + status + " OK\r\n" + lines, cutBody})
+	}
+	return append(answers, brokenAnswer{"status 099 before another answer", "HTTP/1.1 099 Hint\r\n\r\nHTTP/1.1 200 OK\r\n" + lines, cutBody})
+}
+
+// text returns the answer to a request with the given method.
+func (a brokenAnswer) text(method string) string {
+	if method == http.MethodHead {
+		return a.head
+	}
+	return a.head + a.body
+}
+
+// Operators saw leafs in trouble send answers with the status 000. The callers got them with the status 200.
+func TestBrokenAnswersDoNotReachCallers(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		fields router.RouteFields
+	}{
+		{"GET", http.MethodGet, cardRoute(true)},
+		{"HEAD", http.MethodHead, cardRoute(true)},
+		{"POST", http.MethodPost, cardRoute(true)},
+		{"POST, not idempotent", http.MethodPost, cardRoute(false)},
+		{"GET, not idempotent", http.MethodGet, cardRoute(false)},
+		{"query", http.MethodPost, sweepRoute([]string{"s00", "s01"})},
+	}
+	for _, test := range tests {
+		for _, end := range []string{"close", "reset", "silence"} {
+			t.Run(test.name+", "+end, func(t *testing.T) {
+				t.Parallel()
+				tier := newCutTier(t, test.fields, "s00", "s01")
+				for _, answer := range newBrokenAnswers() {
+					tier.cutFirst(answer.text(test.method), end)
+					tier.checkCutRequest(test.method, test.fields, answer.name)
+				}
+			})
+		}
+	}
+}
+
+// Leafs send such answers to an instance that serves requests of another instance's callers, or gathers shards for it.
+func TestBrokenAnswersDoNotReachOtherInstances(t *testing.T) {
+	shards := shardNames(6)
+	t.Run("relayed", func(t *testing.T) {
+		t.Parallel()
+		g := newCluster(t, relayInstances, "s00")
+		for _, isIdempotent := range []bool{true, false} {
+			fields := cardRoute(isIdempotent)
+			fields.Timeout = time.Second
+			g.configure(t, fields)
+			for i, answer := range newBrokenAnswers() {
+				g.cutFirst(answer.text(http.MethodGet), "close")
+				g.checkRelayed(t, fields, uint64(i+1), answer.name)
+			}
+		}
+	})
+	t.Run("gathered", func(t *testing.T) {
+		t.Parallel()
+		g := newGathererCluster(t, shards...)
+		g.configure(t, sweepRoute(shards))
+		for _, answer := range newBrokenAnswers() {
+			g.cutFirst(answer.text(http.MethodPost), "close")
+			g.checkGathered(t, shards, answer.name)
+		}
+		if g.slicesGathered() == 0 {
+			t.Error("no shards were gathered by other instances")
+		}
+	})
+}
+
+// checkRelayed has the second instance serve a request of the first one whose first answer is broken.
+func (g *gathererCluster) checkRelayed(t *testing.T, fields router.RouteFields, id uint64, what string) {
+	t.Helper()
+	reply := g.gates[1].ServeRelayed(aggregator.RelayQuery{
+		ID: id, From: "entry-1", Request: "r-1", Head: []byte("GET /p/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n"), Route: fields, CallerLeft: time.Second,
+	})
+	response := &responseBuffer{header: http.Header{}}
+	g.gate.writeRelayed(response, &inboundRequest{id: "r-1", route: router.NewRoute(fields)}, reply, false)
+	proof, length := response.header.Get("Proof"), response.header.Get("Content-Length")
+	isSound := response.status == http.StatusOK && string(response.body) == soundBody && strings.HasPrefix(proof, "proof-of-s00") && length == "16"
+	isRefused := response.status == http.StatusBadGateway && proof == "" && g.runs() == 1
+	if fields.Idempotent && !isSound || !fields.Idempotent && !isRefused {
+		t.Errorf("idempotent %v, %s: got %+v after %d runs", fields.Idempotent, what, response, g.runs())
+	}
+}
+
+// checkGathered sends a query to the first instance whose first answer for each shard is broken.
+func (g *gathererCluster) checkGathered(t *testing.T, shards []string, what string) {
+	t.Helper()
+	response, body := g.request(http.MethodPost, "/p/x", nil)
+	if response == nil || response.StatusCode != http.StatusOK || string(body) != strings.Repeat(soundBody, 3) || strings.Contains(response.Header.Get("Proofs"), "cut") ||
+		response.Header.Get("Missing-Parts") != "0" || strings.Count(response.Header.Get("Proofs"), "proof-of-") != len(shards) {
+		t.Errorf("%s: got %v with body %q", what, response, body)
+	}
+}
--- a/pkg/gatekeeper/cut_test.go
+++ b/pkg/gatekeeper/cut_test.go
@@ -366,17 +366,7 @@
 			g.configure(t, fields)
 			for cut := 0; cut < len(cutAnswers[0].answer); cut += cutStep {
 				g.cutFirst(cutAnswers[0].answer[:cut], "close")
-				reply := g.gates[1].ServeRelayed(aggregator.RelayQuery{
-					ID: uint64(cut + 1), From: "entry-1", Request: "r-1", Head: []byte("GET /p/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r-1\r\n"), Route: fields, CallerLeft: time.Second,
-				})
-				response := &responseBuffer{header: http.Header{}}
-				g.gate.writeRelayed(response, &inboundRequest{id: "r-1", route: router.NewRoute(fields)}, reply, false)
-				proof, length := response.header.Get("Proof"), response.header.Get("Content-Length")
-				isSound := response.status == http.StatusOK && string(response.body) == soundBody && strings.HasPrefix(proof, "proof-of-s00") && length == "16"
-				isRefused := response.status == http.StatusBadGateway && proof == "" && g.runs() == 1
-				if isIdempotent && !isSound || !isIdempotent && !isRefused {
-					t.Errorf("idempotent %v, cut at %d: got %+v after %d runs", isIdempotent, cut, response, g.runs())
-				}
+				g.checkRelayed(t, fields, uint64(cut+1), fmt.Sprint("cut at ", cut))
 			}
 		}
 	})
@@ -386,11 +376,7 @@
 		g.configure(t, sweepRoute(shards))
 		for cut := 0; cut < len(cutAnswers[0].answer); cut += cutStep {
 			g.cutFirst(cutAnswers[0].answer[:cut], "close")
-			response, body := g.request(http.MethodPost, "/p/x", nil)
-			if response == nil || response.StatusCode != http.StatusOK || string(body) != strings.Repeat(soundBody, 3) || strings.Contains(response.Header.Get("Proofs"), "cut") ||
-				response.Header.Get("Missing-Parts") != "0" || strings.Count(response.Header.Get("Proofs"), "proof-of-") != len(shards) {
-				t.Errorf("cut at %d: got %v with body %q", cut, response, body)
-			}
+			g.checkGathered(t, shards, fmt.Sprint("cut at ", cut))
 		}
 		if g.slicesGathered() == 0 {
 			t.Error("no shards were gathered by other instances")
--- a/pkg/leaf/pool.go
+++ b/pkg/leaf/pool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lovagedeck/pkg/verifier"
 )
 
 const dialTimeout = 500 * time.Millisecond
@@ -75,7 +77,8 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &connection{raw: raw, reader: bufio.NewReader(raw), writer: bufio.NewWriter(raw)}, nil
+	conn := verifier.NewConn(raw)
+	return &connection{raw: conn, reader: bufio.NewReader(conn), writer: bufio.NewWriter(conn)}, nil
 }
 
 func (p *pool) put(c *connection) {
--- a/pkg/lister/poller.go
+++ b/pkg/lister/poller.go
@@ -14,6 +14,7 @@
 
 	"lovagedeck/pkg/assigner"
 	"lovagedeck/pkg/coordinator"
+	"lovagedeck/pkg/verifier"
 )
 
 const (
@@ -46,7 +47,7 @@
 		url     string
 		onLeafs func([]coordinator.LeafRecord)
 		onFault func(error)
-		client  fasthttp.Client
+		client  *fasthttp.Client
 		version string
 		// skippedCount is the number of invalid entries in the last list.
 		skippedCount int
@@ -58,7 +59,14 @@
 // New returns a Poller that calls onLeafs with each changed list, and onFault with each failed poll and when the number of invalid
 // entries has changed.
 func New(url string, onLeafs func([]coordinator.LeafRecord), onFault func(error)) *Poller {
-	return &Poller{url: url, onLeafs: onLeafs, onFault: onFault, stop: make(chan struct{})}
+	return &Poller{url: url, onLeafs: onLeafs, onFault: onFault, client: NewClient(), stop: make(chan struct{})}
+}
+
+// NewClient returns an HTTP client for servers of a list. A response with an invalid head is an error.
+func NewClient() *fasthttp.Client {
+	client := &fasthttp.Client{}
+	verifier.Protect(client)
+	return client
 }
 
 // Run starts polling in the background until Close.
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -13,6 +13,7 @@
 	"lovagedeck/pkg/tabulator"
 	"lovagedeck/pkg/timeliner"
 	"lovagedeck/pkg/tracer"
+	"lovagedeck/pkg/verifier"
 )
 
 const requestTimeout = 6 * time.Second
@@ -56,6 +57,7 @@
 	for _, option := range options {
 		option(client)
 	}
+	verifier.Protect(&client.http)
 	return client
 }
 
@@ -68,7 +70,9 @@
 
 // WithAddress returns a client for the instance at address that uses the same token and TLS configuration.
 func (c *Client) WithAddress(address string) *Client {
-	return &Client{address: address, scheme: c.scheme, token: c.token, http: fasthttp.Client{TLSConfig: c.http.TLSConfig}}
+	client := &Client{address: address, scheme: c.scheme, token: c.token, http: fasthttp.Client{TLSConfig: c.http.TLSConfig}}
+	verifier.Protect(&client.http)
+	return client
 }
 
 // Address returns the address that the client sends its requests to.
--- /dev/null
+++ b/pkg/verifier/head.go
@@ -0,0 +1,126 @@
+package verifier
+
+import "github.com/pkg/errors"
+
+var (
+	// ErrInvalidHead is the error for any invalid head. The bytes that follow belong to no response.
+	ErrInvalidHead = errors.New("the head of the response is invalid")
+	// ErrInvalidStatus is an ErrInvalidHead because the status is not a number from 100 to 599, the range of RFC 9110, section 15.
+	ErrInvalidStatus = errors.Wrap(ErrInvalidHead, "the status is not between 100 and 599")
+)
+
+// statusDigits is the length of a status.
+const statusDigits = 3
+
+type headState int
+
+// These are the parts of a head, named after the byte that is expected next.
+const (
+	beforeVersion headState = iota
+	inVersion
+	beforeStatus
+	inStatus
+	inReason
+	atLineStart
+	afterCarriageReturn
+	inLine
+	complete
+)
+
+// Head verifies the head of one response while it arrives. The zero value is ready for use.
+type Head struct {
+	state headState
+	// status is the number that the digits read so far form.
+	status      int
+	digitsCount int
+}
+
+// IsComplete reports whether the whole head has been verified.
+func (h *Head) IsComplete() bool { return h.state == complete }
+
+// IsInterim reports whether the response is followed by another one to the same request. It is valid once the head is complete.
+func (h *Head) IsInterim() bool { return h.status < 200 }
+
+// Verify takes the next bytes of a response and returns how many of them belong to the head and are valid. The error is an
+// ErrInvalidHead, after which the Head must not be used any more.
+func (h *Head) Verify(data []byte) (validBytes int, err error) {
+	for i, next := range data {
+		if h.IsComplete() {
+			return i, nil
+		}
+		if h.state, err = h.after(next); err != nil {
+			return i, err
+		}
+	}
+	return len(data), nil
+}
+
+// after returns the state after the next byte. It accepts lines that end without a carriage return and empty lines before the head, as
+// fasthttp does.
+func (h *Head) after(next byte) (headState, error) {
+	switch h.state {
+	case beforeVersion:
+		if next == '\r' || next == '\n' {
+			return beforeVersion, nil
+		}
+		return inVersion, nil
+	case inVersion:
+		if next == '\n' {
+			return inVersion, ErrInvalidStatus
+		}
+		if next == ' ' {
+			return beforeStatus, nil
+		}
+		return inVersion, nil
+	case beforeStatus:
+		if next == ' ' {
+			return beforeStatus, nil
+		}
+		return h.afterStatus(next)
+	case inStatus:
+		return h.afterStatus(next)
+	case atLineStart:
+		return afterLineStart(next)
+	case afterCarriageReturn:
+		if next == '\n' {
+			return complete, nil
+		}
+		return inLine, nil
+	default:
+		if next == '\n' {
+			return atLineStart, nil
+		}
+		return h.state, nil
+	}
+}
+
+func (h *Head) afterStatus(next byte) (headState, error) {
+	if h.digitsCount < statusDigits {
+		if next < '0' || next > '9' {
+			return inStatus, ErrInvalidStatus
+		}
+		h.status = 10*h.status + int(next-'0')
+		h.digitsCount++
+		if h.digitsCount == statusDigits && (h.status < 100 || h.status > 599) {
+			return inStatus, ErrInvalidStatus
+		}
+		return inStatus, nil
+	}
+	switch next {
+	case ' ', '\r':
+		return inReason, nil
+	case '\n':
+		return atLineStart, nil
+	}
+	return inStatus, ErrInvalidStatus
+}
+
+func afterLineStart(next byte) (headState, error) {
+	switch next {
+	case '\r':
+		return afterCarriageReturn, nil
+	case '\n':
+		return complete, nil
+	}
+	return inLine, nil
+}
--- /dev/null
+++ b/pkg/verifier/head_test.go
@@ -0,0 +1,86 @@
+package verifier
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+func TestVerify(t *testing.T) {
+	cases := []struct {
+		data string
+		// validBytes is how many bytes belong to the head and are valid.
+		validBytes int
+		isComplete bool
+		isInterim  bool
+		err        error
+	}{
+		{"HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody", 25, true, false, nil},
+		{"HTTP/1.1 200\r\n\r\n", 16, true, false, nil},
+		{"\r\n\nHTTP/1.1   503 \r\n\r\n", 22, true, false, nil},
+		{"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 000", 31, true, true, nil},
+		{"HTTP/1.1 200 OK\nA: b\n\nbody", 22, true, false, nil},
+		{"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n", 29, true, false, nil},
+		{"HTTP/1.1 599 OK\r\nA: b\r\n", 23, false, false, nil},
+		{"HTTP/1.1 000 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
+		{"HTTP/1.1 099 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
+		{"HTTP/1.1 600 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
+		{"HTTP/1.1 20 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
+		{"HTTP/1.1 2000 OK\r\n\r\n", 12, false, false, ErrInvalidStatus},
+		{"HTTP/1.1\r\n\r\n", 9, false, false, ErrInvalidStatus},
+		{"HTTP/1.1 \r\n\r\n", 9, false, false, ErrInvalidStatus},
+	}
+	for _, c := range cases {
+		for _, step := range []int{1, 3, len(c.data)} {
+			head := &Head{}
+			validBytes, err := verifyInSteps(head, []byte(c.data), step)
+			if validBytes != c.validBytes || !errors.Is(err, c.err) || head.IsComplete() != c.isComplete || c.isComplete && head.IsInterim() != c.isInterim {
+				t.Errorf("%q by %d: got %d valid bytes, error %v, complete %v, interim %v; want %+v", c.data, step, validBytes, err, head.IsComplete(), head.IsInterim(), c)
+			}
+		}
+	}
+}
+
+func verifyInSteps(head *Head, data []byte, step int) (validBytes int, err error) {
+	for err == nil && !head.IsComplete() && validBytes < len(data) {
+		var count int
+		count, err = head.Verify(data[validBytes:min(len(data), validBytes+step)])
+		validBytes += count
+	}
+	return validBytes, err
+}
+
+// A head that fasthttp reads must end for Head where it ends for fasthttp, or be invalid.
+func FuzzHead(f *testing.F) {
+	for _, seed := range []string{
+		"HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody", "HTTP/1.1 000 OK\r\n\r\n", "\r\n\r\nHTTP/1.0 103\r\nA: b\r\n c\r\n\r\n", "HTTP/1.1 200 OK\nA: b\n\nbody\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA : b\r\n\r\n", "HTTP/1.1 200 OK\r\nA b: c\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\n\r\n\r\n", "HTTP/1.1 200 OK\r\n\nA: b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA: b\r\n \r\n\t\r\n\r\n", "HTTP/1.1 200 OK\r\nA:\r\n\r\r\n\r\n", "HTTP/1.1 200 OK\r\n: b\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reader := bufio.NewReaderSize(bytes.NewReader(data), max(16, len(data)))
+		_, _ = reader.Peek(len(data))
+		var header fasthttp.ResponseHeader
+		readErr := header.Read(reader)
+		head := &Head{}
+		validBytes, err := verifyInSteps(head, data, max(1, len(data)))
+		byByte := &Head{}
+		if count, byByteErr := verifyInSteps(byByte, data, 1); count != validBytes || !errors.Is(byByteErr, err) || *byByte != *head {
+			t.Fatalf("%q byte by byte: got %d valid bytes and error %v, want %d and %v", data, count, byByteErr, validBytes, err)
+		}
+		if readErr != nil || err != nil {
+			return
+		}
+		if readBytes := len(data) - reader.Buffered(); !head.IsComplete() || validBytes != readBytes {
+			t.Fatalf("%q: got complete %v after %d bytes, want complete after the %d of fasthttp", data, head.IsComplete(), validBytes, readBytes)
+		}
+		if header.StatusCode() < 100 || header.StatusCode() > 599 || head.IsInterim() != (header.StatusCode() < 200) {
+			t.Fatalf("%q: got status %d with interim %v", data, header.StatusCode(), head.IsInterim())
+		}
+	})
+}
