Reject answers with an invalid name of a field

Callers got an answer of a leaf in trouble in whose head the name of a field held a blank, and some got another body than the leaf's:

- "Transfer Encoding: chunked", or another such line in the place of the framing: the chunks with their lengths as the body ("10\r\ncut...").
- "Content-Length : 3" before chunks: the three bytes "10\r".
- "X-Note : 1" was passed on as "X-Note: 1".
- A line feed before a name: the rest of the head as the body ("X-Note: 1\r\nContent-Length: 16\r\n\r\ncut...").

Cause: fasthttp allows blanks in names, drops those before the colon, and takes an empty line that ends with a bare line feed for the end of the head if an empty line with a carriage return stands anywhere behind it. Such a field then frames nothing, or frames what it should not. All other control bytes were rejected already; those cases are kept in the tests.

Change: verifier.Head requires a token before the colon (RFC 9112, section 5) and that the head ends with two complete line ends. It is the same place that verifies the status, so that it holds for all readers.

--- a/pkg/exchanger/head_test.go
+++ b/pkg/exchanger/head_test.go
@@ -62,3 +62,76 @@
 		result.Release()
 	}
 }
+
+// Operators saw leafs in trouble send answers in whose head the name of a field held a blank or a control byte. Callers got them with
+// that line, or with the chunks of a body instead of the body.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	lines := []string{
+		"X Note: 1", "X-Note : 1", "X-Note\t: 1", "X\tNote: 1", "X\x00Note: 1", "X\x01Note: 1", "\x01X-Note: 1", "\nX-Note: 1", "\rX-Note: 1", "X-No\nte: 1", "X-Note\x1f: 1", "X-Note\x7f: 1", "X\rNote: 1", "X\xa0Note: 1", "X(Note): 1",
+		"Content Length: 3", "Content-Length : 16", "Content-Length\x00: 16", "Transfer Encoding: chunked", "Transfer-Encoding : chunked", "Request-Id : r1", "Proof : p-r1", "Connection : close", ": 1", "X-Note",
+	}
+	const head = "HTTP/1.1 200 OK\r\n%sRequest-Id: r1\r\nProof: p-r1\r\n%s%s%s\r\n%s"
+	for _, line := range lines {
+		line += "\r\n"
+		for _, isSlow := range []bool{false, true} {
+			for _, answer := range []string{
+				fmt.Sprintf(head, line, "Content-Length: 16\r\n", "", "", wholeBody),
+				fmt.Sprintf(head, "", line, "Content-Length: 16\r\n", "", wholeBody),
+				fmt.Sprintf(head, "", "Content-Length: 16\r\n", "Note: a\r\n b\r\n", line, wholeBody),
+				fmt.Sprintf(head, "", "Content-Length: 16\r\n", "Note: a\n", line, wholeBody),
+				fmt.Sprintf(head, line, "", "", "", wholeBody),
+				fmt.Sprintf(head, "", line, "", "", "10\r\n"+wholeBody+"\r\n0\r\n\r\n"),
+				"HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + fmt.Sprintf(head, "", "Content-Length: 16\r\n", "", "", wholeBody),
+			} {
+				for _, end := range []error{io.EOF, syscall.ECONNRESET, nil} {
+					result, hasEnded := exchangeWith(t, newScriptedConn(end, isSlow, answer), false)
+					if !hasEnded || result.Response != nil || !result.Progress.MayHaveArrived() {
+						t.Errorf("%q and %v: got ended %v, status %d, body %q, error %v; want an error", answer, end, hasEnded, result.Status(), bodyOf(result), result.Err)
+					}
+					result.Release()
+				}
+			}
+		}
+	}
+}
+
+// Each byte that RFC 9110 allows in the name of a field, and any text in continuation lines and trailers, is as good as before.
+func TestValidFieldNamesArePassedOn(t *testing.T) {
+	const name = "!#$%&'*+-.^_`|~09AZaz"
+	answers := map[string]string{
+		"every allowed byte": "HTTP/1.1 200 OK\r\n" + name + ": 1\r\nRequest-Id: r1\r\nContent-Length: 16\r\n\r\n" + wholeBody,
+		"continuation":       "HTTP/1.1 200 OK\r\nNote: a\r\n X Note : b\r\n\tc\r\nRequest-Id: r1\r\nContent-Length: 16\r\n\r\n" + wholeBody,
+		"no blank":           "HTTP/1.1 200 OK\r\nRequest-Id:r1\r\nContent-Length:16\r\n\r\n" + wholeBody,
+		"empty value":        "HTTP/1.1 200 OK\r\nNote:\r\nRequest-Id: r1\r\nContent-Length: 16\r\n\r\n" + wholeBody,
+		"body like a head":   "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 16\r\n\r\nX Note : 1\r\n\r\nab",
+	}
+	for what, answer := range answers {
+		result, _ := exchangeWith(t, newScriptedConn(nil, false, answer), false)
+		_, body, _ := strings.Cut(answer, "\r\n\r\n")
+		if result.Status() != http.StatusOK || string(bodyOf(result)) != body {
+			t.Errorf("%s: got status %d, body %q, error %v; want the answer", what, result.Status(), bodyOf(result), result.Err)
+		} else if what == "every allowed byte" && string(result.Response.Header.Peek(name)) != "1" {
+			t.Errorf("%s: got no field %s", what, name)
+		}
+		result.Release()
+	}
+}
+
+// The fields of a trailer are not passed on, with valid names or not.
+func TestFieldsOfTrailerAreNotPassedOn(t *testing.T) {
+	for _, line := range []string{"Tail: 1", "X Tail: 1", "Tail : 1", "X\x01Tail: 1"} {
+		answer := "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n" + wholeBody + "\r\n0\r\n" + line + "\r\n\r\n"
+		result, hasEnded := exchangeWith(t, newScriptedConn(nil, false, answer), false)
+		if !hasEnded || result.Response != nil && string(bodyOf(result)) != wholeBody {
+			t.Errorf("%q: got ended %v, body %q, error %v; want the body or an error", line, hasEnded, bodyOf(result), result.Err)
+		}
+		if result.Response != nil {
+			for name := range result.Response.Header.All() {
+				if strings.Contains(string(name), "Tail") {
+					t.Errorf("%q: got the field %q in the head", line, name)
+				}
+			}
+		}
+		result.Release()
+	}
+}
--- a/pkg/verifier/doc.go
+++ b/pkg/verifier/doc.go
@@ -1,3 +1,3 @@
-// Package verifier rejects HTTP responses with an invalid head, which fasthttp reads as others: it takes the status 000 for 200, and those
-// up to 099 for interim responses.
+// Package verifier rejects HTTP responses with an invalid head that fasthttp would accept: it reads the status 000 as 200 and those from 001
+// to 099 as interim responses, allows blanks in the names of fields, and may take a bare line feed before a name for the end of the head.
 package verifier
