Own leafs: close a connection with bytes after the response

A leaf in trouble sent a second response behind a whole one, with the status 000; the instance took it for the answer to the next request on that connection. Searches are safe, since their answers name the request; the holdings of a leaf were replaced by what the second response named.

Cause: the connection went back to the pool with these bytes in its buffer, where verifier.Conn had let them pass: it looks at heads only while a response is due. exchanger closes such a connection; the client for the product's own leafs did not.

Change: it closes the connection too. What arrives later than the response is read after the next request was written, and verified.

--- a/pkg/leaf/client.go
+++ b/pkg/leaf/client.go
@@ -154,6 +154,11 @@
 		return exchange, err
 	}
 	exchange.responseTime = time.Since(start)
+	if conn.reader.Buffered() > 0 {
+		// These bytes belong to no request.
+		c.pool.discard(conn)
+		return exchange, nil
+	}
 	c.pool.put(conn)
 	return exchange, nil
 }
--- a/pkg/leaf/leaf_test.go
+++ b/pkg/leaf/leaf_test.go
@@ -1,9 +1,12 @@
 package leaf
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -239,3 +242,42 @@
 		f.close(client)
 	})
 }
+
+// Bytes that follow a complete response belong to no request. They must not be taken for the response to the next one.
+func TestSurplusAfterResponseIsNotRead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				for reader := bufio.NewReader(conn); ; {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, request.Body); err != nil {
+						return
+					}
+					const sound, surplus = `{"id":"r1","start":"sound"}`, `{"start":"surplus"}`
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%sHTTP/1.1 000 OK\r\nContent-Length: %d\r\n\r\n%s", len(sound), sound, len(surplus), surplus)
+				}
+			}()
+		}
+	}()
+	client := New(listener.Addr().String(), 1)
+	defer client.Close()
+	if _, err := client.Search(Request{ID: "r1"}, time.Second); err != nil {
+		t.Fatalf("search: got error %v, want none", err)
+	}
+	if exchange, err := client.Holdings(); err != nil || exchange.Response().RunID != "sound" {
+		t.Errorf("holdings: got response %+v and error %v, want the sound one", exchange.Response(), err)
+	}
+}
