--- a/pkg/gatekeeper/broken_test.go
+++ b/pkg/gatekeeper/broken_test.go
@@ -46,19 +46,7 @@
 // Operators saw leafs in trouble send answers with the status 000, or with a blank or a control byte in the name of a field. Callers got
 // them with the status 200.
 func TestBrokenAnswersDoNotReachCallers(t *testing.T) {
-	tests := []struct {
-		name   string
-		method string
-		fields router.RouteFields
-	}{
-		{"GET", http.MethodGet, cardRoute(true)},
-		{"HEAD", http.MethodHead, cardRoute(true)},
-		{"POST", http.MethodPost, cardRoute(true)},
-		{"POST, not idempotent", http.MethodPost, cardRoute(false)},
-		{"GET, not idempotent", http.MethodGet, cardRoute(false)},
-		{"query", http.MethodPost, sweepRoute([]string{"s00", "s01"})},
-	}
-	for _, test := range tests {
+	for _, test := range callerRequests {
 		for _, end := range []string{"close", "reset", "silence"} {
 			t.Run(test.name+", "+end, func(t *testing.T) {
 				t.Parallel()
--- a/pkg/gatekeeper/cut_test.go
+++ b/pkg/gatekeeper/cut_test.go
@@ -165,22 +165,24 @@
 	return tier
 }
 
+// callerRequests are the kinds of requests that callers send, each with its route.
+var callerRequests = []struct {
+	name   string
+	method string
+	fields router.RouteFields
+}{
+	{"GET", http.MethodGet, cardRoute(true)},
+	{"HEAD", http.MethodHead, cardRoute(true)},
+	{"POST", http.MethodPost, cardRoute(true)},
+	{"POST, not idempotent", http.MethodPost, cardRoute(false)},
+	{"GET, not idempotent", http.MethodGet, cardRoute(false)},
+	{"query", http.MethodPost, sweepRoute([]string{"s00", "s01"})},
+}
+
 // Operators saw leafs stop in the middle of the head of an answer and close. The callers got a status 200 with an empty or short
 // body. The answer of such a leaf must not reach a caller: another leaf answers, unless the request must not run twice.
 func TestCutAnswersDoNotReachCallers(t *testing.T) {
-	tests := []struct {
-		name   string
-		method string
-		fields router.RouteFields
-	}{
-		{"GET", http.MethodGet, cardRoute(true)},
-		{"HEAD", http.MethodHead, cardRoute(true)},
-		{"POST", http.MethodPost, cardRoute(true)},
-		{"POST, not idempotent", http.MethodPost, cardRoute(false)},
-		{"GET, not idempotent", http.MethodGet, cardRoute(false)},
-		{"query", http.MethodPost, sweepRoute([]string{"s00", "s01"})},
-	}
-	for _, test := range tests {
+	for _, test := range callerRequests {
 		for _, end := range []string{"close", "reset"} {
 			t.Run(test.name+", "+end, func(t *testing.T) {
 				t.Parallel()
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -20,7 +20,7 @@
 
 type headState int
 
-// These are the parts of a head, named after the byte that is expected next.
+// These are the places in a head at which the next byte may stand.
 const (
 	beforeVersion headState = iota
 	inVersion
