Reject answers with a line that begins with a blank or tab

Callers got answers of leafs in trouble in whose head a line began with a blank or a tab: " X-Odd: 1" after "X-Note: a" was passed on as "X-Note: a X-Odd: 1", and after " Transfer-Encoding: chunked" the chunks, with their lengths, were the body.

Cause: fasthttp joins such a line to the line before it, and verifier.Head accepted it as a continuation of a value. It may as well be a field whose name begins with a blank. RFC 9112, section 5.2, has a gateway discard such a response or replace the fold with blanks; the second would have to know what the leaf meant. Now a line that does not begin with a token is an invalid name, also after the status line and in interim heads, for everything that reads answers. Blanks within and around values are as before.

--- a/pkg/exchanger/cut_test.go
+++ b/pkg/exchanger/cut_test.go
@@ -119,7 +119,8 @@
 	{name: "no body", status: 200, answer: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 0\r\n\r\n"},
 	{name: "no reason", status: 200, body: wholeBody, answer: "HTTP/1.1 200\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 16\r\n\r\n" + wholeBody},
 	{name: "bare line feeds", isInvalid: true, answer: "HTTP/1.1 200 OK\nRequest-Id: r1\nProof: p-r1\nContent-Length: 16\n\n" + wholeBody},
-	{name: "folded head", status: 200, body: wholeBody, answer: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nNote: a\r\n b\r\nContent-Length: 16\r\n\r\n" + wholeBody},
+	{name: "folded head", status: 200, body: wholeBody, isInvalid: true, answer: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nNote: a\r\n b\r\nContent-Length: 16\r\n\r\n" + wholeBody},
+	{name: "blanks in values", status: 200, body: wholeBody, answer: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nNote: \t a  b\t\r\nContent-Length:\t16 \r\n\r\n" + wholeBody},
 	{name: "HTTP/1.0", status: 200, body: wholeBody, answer: "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 16\r\n\r\n" + wholeBody},
 	{name: "chunked", status: 200, body: wholeBody, endBytes: len("\r\n"), answer: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nTransfer-Encoding: chunked\r\n\r\n" +
 		"6;x=1\r\n012345\r\na\r\n6789abcdef\r\n0\r\n\r\n"},
--- a/pkg/exchanger/head_test.go
+++ b/pkg/exchanger/head_test.go
@@ -69,6 +69,7 @@
 	lines := []string{
 		"X Note: 1", "X-Note : 1", "X-Note\t: 1", "X\tNote: 1", "X\x00Note: 1", "X\x01Note: 1", "\x01X-Note: 1", "\nX-Note: 1", "\rX-Note: 1", "X-No\nte: 1", "X-Note\x1f: 1", "X-Note\x7f: 1", "X\rNote: 1", "X\xa0Note: 1", "X(Note): 1",
 		"Content Length: 3", "Content-Length : 16", "Content-Length\x00: 16", "Transfer Encoding: chunked", "Transfer-Encoding : chunked", "Request-Id : r1", "Proof : p-r1", "Connection : close", ": 1", "X-Note",
+		" X-Note: 1", "\tX-Note: 1", " 1", "\t", " ", " \t 1", " Content-Length: 3", " Content-Length: 16", " Transfer-Encoding: chunked", "\tTransfer-Encoding: chunked", " Request-Id: r2", " : 1", "  X Note : 1",
 	}
 	const head = "HTTP/1.1 200 OK\r\n%sRequest-Id: r1\r\nProof: p-r1\r\n%s%s%s\r\n%s"
 	for _, line := range lines {
@@ -77,7 +78,7 @@
 			for _, answer := range []string{
 				fmt.Sprintf(head, line, "Content-Length: 16\r\n", "", "", wholeBody),
 				fmt.Sprintf(head, "", line, "Content-Length: 16\r\n", "", wholeBody),
-				fmt.Sprintf(head, "", "Content-Length: 16\r\n", "Note: a\r\n b\r\n", line, wholeBody),
+				fmt.Sprintf(head, "", "Content-Length: 16\r\n", "Note: a\r\n", line, wholeBody),
 				fmt.Sprintf(head, "", "Content-Length: 16\r\n", "Note: a\n", line, wholeBody),
 				fmt.Sprintf(head, line, "", "", "", wholeBody),
 				fmt.Sprintf(head, "", line, "", "", "10\r\n"+wholeBody+"\r\n0\r\n\r\n"),
@@ -95,12 +96,13 @@
 	}
 }
 
-// Each byte that RFC 9110 allows in the name of a field, and any text in continuation lines and trailers, is as good as before.
+// Each byte that RFC 9110 allows in the name of a field is passed on, and values keep their blanks.
 func TestValidFieldNamesArePassedOn(t *testing.T) {
 	const name = "!#$%&'*+-.^_`|~09AZaz"
 	answers := map[string]string{
 		"every allowed byte": "HTTP/1.1 200 OK\r\n" + name + ": 1\r\nRequest-Id: r1\r\nContent-Length: 16\r\n\r\n" + wholeBody,
-		"continuation":       "HTTP/1.1 200 OK\r\nNote: a\r\n X Note : b\r\n\tc\r\nRequest-Id: r1\r\nContent-Length: 16\r\n\r\n" + wholeBody,
+		"blanks in values":   "HTTP/1.1 200 OK\r\nNote: a  X\tNote : b\r\nRequest-Id: r1\r\nContent-Length: 16\r\n\r\n" + wholeBody,
+		"blanks at the ends": "HTTP/1.1 200 OK\r\nNote: \t a  X\tNote : b \t\r\nRequest-Id:\tr1 \r\nContent-Length: \t16\t\r\n\r\n" + wholeBody,
 		"no blank":           "HTTP/1.1 200 OK\r\nRequest-Id:r1\r\nContent-Length:16\r\n\r\n" + wholeBody,
 		"empty value":        "HTTP/1.1 200 OK\r\nNote:\r\nRequest-Id: r1\r\nContent-Length: 16\r\n\r\n" + wholeBody,
 		"body like a head":   "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 16\r\n\r\nX Note : 1\r\n\r\nab",
@@ -112,6 +114,8 @@
 			t.Errorf("%s: got status %d, body %q, error %v; want the answer", what, result.Status(), bodyOf(result), result.Err)
 		} else if what == "every allowed byte" && string(result.Response.Header.Peek(name)) != "1" {
 			t.Errorf("%s: got no field %s", what, name)
+		} else if note := string(result.Response.Header.Peek("Note")); strings.HasPrefix(what, "blanks") && note != "a  X\tNote : b" {
+			t.Errorf("%s: got the value %q", what, note)
 		}
 		result.Release()
 	}
--- a/pkg/gatekeeper/broken_test.go
+++ b/pkg/gatekeeper/broken_test.go
@@ -28,9 +28,11 @@
 	answers = append(answers, brokenAnswer{"status 099 before another answer", "HTTP/1.1 099 Hint\r\n\r\nHTTP/1.1 200 OK\r\n" + lines, cutBody})
 	for _, line := range []string{
 		"X Note: 1", "X-Note : 1", "X\tNote: 1", "X\x01Note: 1", "X-Note\x7f: 1", "\nX-Note: 1", "Content Length: 3", "Content-Length : 3", "Transfer Encoding: chunked", "Transfer-Encoding : chunked",
+		" X-Odd: 1", "\tX-Odd: 1", " ", " Content-Length: 3", "\tContent-Length: 3", " Transfer-Encoding: chunked", "\tTransfer-Encoding: chunked",
 	} {
 		answers = append(answers, brokenAnswer{fmt.Sprintf("line %q", line), cutHead + line + "\r\nContent-Length: 16\r\n\r\n", cutBody},
-			brokenAnswer{fmt.Sprintf("line %q before chunks", line), cutHead + line + "\r\n\r\n", "10\r\n" + cutBody + "\r\n0\r\n\r\n"})
+			brokenAnswer{fmt.Sprintf("line %q before chunks", line), cutHead + line + "\r\n\r\n", "10\r\n" + cutBody + "\r\n0\r\n\r\n"},
+			brokenAnswer{fmt.Sprintf("line %q in an interim head", line), "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n\r\n" + cutHead + "Content-Length: 16\r\n\r\n", cutBody})
 	}
 	return answers
 }
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -10,8 +10,9 @@
 	ErrInvalidHead = errors.New("the head of the response is invalid")
 	// ErrInvalidStatus is an ErrInvalidHead because the status is not a number from 100 to 599, the range of RFC 9110, section 15.
 	ErrInvalidStatus = errors.Wrap(ErrInvalidHead, "the status is not between 100 and 599")
-	// ErrInvalidFieldName is an ErrInvalidHead because a line does not begin with a token and a colon, as RFC 9112, section 5, requires. A
-	// line feed at the beginning of a name looks like the end of the head.
+	// ErrInvalidFieldName is an ErrInvalidHead because a line does not begin with a token and a colon, as RFC 9112, section 5, requires.
+	// That includes continuation lines, which section 5.2 lets a gateway discard the response for, and a line feed at the beginning of a
+	// name, which looks like the end of the head.
 	ErrInvalidFieldName = errors.Wrap(ErrInvalidHead, "the name of a field is invalid")
 )
 
@@ -67,8 +68,8 @@
 	return len(data), nil
 }
 
-// after returns the state after the next byte. It accepts continuation lines, lines that end without a carriage return, except the last
-// two, and empty lines before the head, as fasthttp does.
+// after returns the state after the next byte. It accepts lines that end without a carriage return, except the last two, and empty lines
+// before the head, as fasthttp does.
 func (h *Head) after(next byte) (headState, error) {
 	switch h.state {
 	case beforeVersion:
@@ -139,11 +140,8 @@
 }
 
 func (h *Head) afterLineStart(next byte) (headState, error) {
-	switch {
-	case next == '\r' && !h.hasBareFeed:
+	if next == '\r' && !h.hasBareFeed {
 		return inEmptyLine, nil
-	case next == ' ' || next == '\t':
-		return inValue, nil
 	}
 	return afterName(next)
 }
--- a/pkg/verifier/head_test.go
+++ b/pkg/verifier/head_test.go
@@ -24,7 +24,7 @@
 		{"\r\n\nHTTP/1.1   503 \r\n\r\n", 22, true, false, nil},
 		{"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 000", 31, true, true, nil},
 		{"HTTP/1.1 200 OK\nA: b\nC: d\r\n\r\nbody", 29, true, false, nil},
-		{"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n", 29, true, false, nil},
+		{"HTTP/1.1 200 OK\r\nA: \tb  c \t\r\n\r\nbody", 31, true, false, nil},
 		{"HTTP/1.1 599 OK\r\nA: b\r\n", 23, false, false, nil},
 		{"HTTP/1.1 000 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
 		{"HTTP/1.1 099 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
@@ -42,6 +42,11 @@
 		{"HTTP/1.1 200 OK\r\nA: b\r\n\nC: d\r\n\r\n", 23, false, false, ErrInvalidFieldName},
 		{"HTTP/1.1 200 OK\r\nA: b\n\r\nC: d\r\n\r\n", 22, false, false, ErrInvalidFieldName},
 		{"HTTP/1.1 200 OK\r\nA: b\r\n\rC: d\r\n\r\n", 24, false, false, ErrInvalidFieldName},
+		{"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n", 23, false, false, ErrInvalidFieldName},
+		{"HTTP/1.1 200 OK\r\nA: b\r\n\tC: d\r\n\r\n", 23, false, false, ErrInvalidFieldName},
+		{"HTTP/1.1 200 OK\r\n C: d\r\n\r\n", 17, false, false, ErrInvalidFieldName},
+		{"HTTP/1.1 200 OK\nA: b\n C: d\r\n\r\n", 21, false, false, ErrInvalidFieldName},
+		{"HTTP/1.1 103 Hints\r\nLink: a\r\n C: d\r\n\r\n", 29, false, true, ErrInvalidFieldName},
 	}
 	for _, c := range cases {
 		for _, step := range []int{1, 3, len(c.data)} {
--- a/pkg/verifier/readers_test.go
+++ b/pkg/verifier/readers_test.go
@@ -102,11 +102,17 @@
 	"HTTP/1.1 200 OK\r\nContent-Length\x01: %d\r\n\r\n%s",
 	"HTTP/1.1 200 OK\r\n\nX-Note: 1\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX-Note: a\r\n X-Odd: 1\r\nContent-Length: %d\r\n\r\n%s",
+	"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\tX-Odd: 1\r\n\r\n%s",
+	"HTTP/1.1 200 OK\r\n X-Odd: 1\r\nContent-Length: %d\r\n\r\n%s",
+	"HTTP/1.1 200 OK\r\nX-Note: a\r\n Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\nX-Note: a\r\n X-Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 }
 
 var soundHeads = []string{
 	"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 200\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+	"HTTP/1.1 200 OK\r\nX-Note: \t a  X\tNote : b\t\r\nContent-Length:\t%d \r\n\r\n%s",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
 }
