Soak: leafs and the list of leafs send broken answers to whole processes

Users saw on whole processes that callers got an answer whose status was 000; the leafs of the soak sent no such answers.

TestProcessesRejectBrokenAnswers starts five control and three entry processes, one of which relays all its requests. One leaf of each service in turn, and the list, send 14 kinds of broken answers: status 000 (also after an interim head), 099 and 999, blanks, control bytes and line feeds in names, lines that begin with a blank or tab, and the same in the encoding. Their stamps are marked, so that the checker finds them in the responses of callers; the list names leafs at a decoy, to which nothing may connect. Each kind must have been sent to plain requests, to those that must not run twice, to queries and to requests for the list. The random runs have the fault "broken answers", as the last kind. A leaf that sends a broken answer does not count as having stated that it is leaving, since an invalid head states nothing.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -75,6 +75,7 @@
 		partialCount int
 		refusedCount int
 		failedCount  int
+		broken       brokenCount
 	}
 
 	sentRequest struct {
@@ -106,7 +107,7 @@
 		drainingSince: map[string]time.Time{}, outOfServiceSince: map[string]time.Time{}, newestInUse: map[string]observedVersion{},
 		cutProcesses: map[*process]bool{}, rests: map[leafAndRun]*judgedRest{}, leavingSince: map[leafAndRun]time.Time{},
 		limits: map[string]*judgedLimit{}, coreLostFor: map[string]time.Duration{},
-		runs: map[string][]*leafRun{}, openRuns: map[*leafRun]bool{},
+		runs: map[string][]*leafRun{}, openRuns: map[*leafRun]bool{}, broken: brokenCount{},
 	}
 }
 
@@ -192,6 +193,7 @@
 	if got := response.Header.Get("X-Lovagedeck-Request-Id"); got != "" && got != id {
 		c.reportViolation("request %s got the response of request %s", id, got)
 	}
+	c.checkBroken(id, response)
 	switch status := response.StatusCode; {
 	case status == http.StatusOK && shards == nil:
 		c.servedCount++
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -77,6 +77,7 @@
 		{"roll-outs", f.rollOut},
 		{"move key", f.moveKey},
 		{"change allowance", f.changeAllowance},
+		{"broken answers", f.breakAnswers},
 	}
 	if f.kindCount > 0 {
 		kinds = kinds[:f.kindCount]
--- a/soak/leafs_test.go
+++ b/soak/leafs_test.go
@@ -63,6 +63,8 @@
 		host        string
 		// isListEndless makes the list of leafs a page that never ends.
 		isListEndless atomic.Bool
+		// brokenListKind is the kind of broken answer that the list is, or empty, and decoy the address of the leafs in it.
+		brokenListKind, decoy string
 	}
 )
 
@@ -156,6 +158,9 @@
 		writeEndlessly(w)
 		return
 	}
+	if f.serveBrokenList(w) {
+		return
+	}
 	entries := []any{map[string]any{"id": 7, "service": nil}, "nonsense"}
 	zone := r.URL.Query().Get("zone")
 	for _, l := range f.all() {
@@ -221,7 +226,11 @@
 	l.checker.checkArrival(l.id, id)
 	l.checker.checkVersion(l, id)
 	l.checker.checkRest(l.id, id)
-	l.stateLeaving(w, id)
+	fault := l.currentFault()
+	isBroken := brokenFormatOf(fault) != ""
+	if !isBroken {
+		l.stateLeaving(w, id)
+	}
 	select {
 	case l.slots <- true:
 		defer func() { <-l.slots }()
@@ -230,7 +239,6 @@
 		reject(w, http.StatusServiceUnavailable)
 		return
 	}
-	fault := l.currentFault()
 	if fault == "rest" {
 		l.refuseForRest(w, id)
 		return
@@ -253,6 +261,10 @@
 		fault = flawFault
 		l.checker.recordBadAnswer(l)
 	}
+	if isBroken {
+		l.sendBroken(w, id, fault, run)
+		return
+	}
 	l.respond(w, r, id, fault, run)
 }
 
