Reject answers of another major version than HTTP/1

Callers got an answer that began with "HTTP/2.0 200 OK", "HTTP/0.9 200 OK" or any other two digits, and the list of leafs was taken from one.

Cause: fasthttp accepts any two digits and reads the rest as HTTP/1.0. RFC 9112 defines these heads for major version 1 only; what another version means by the same bytes is not known. verifier.Head now wants "HTTP/1." and a digit, so that 1.0 and minor versions above 1 are taken as before.

--- a/pkg/exchanger/head_test.go
+++ b/pkg/exchanger/head_test.go
@@ -52,6 +52,27 @@
 	}
 }
 
+// RFC 9112 defines the heads of major version 1. What another version means by the same bytes is not known here.
+func TestOtherMajorVersionIsNoAnswer(t *testing.T) {
+	const rest = " 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 16\r\n\r\n" + wholeBody
+	for _, before := range []string{"", "\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+		for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.1", "HTTP/9.9", "HTTP/2", "HTTP/1", "HTTP/1.", "HTTP/1.10", "HTTP/11.1", "http/1.1", "HTTP-1.1", "HTTPS/1.1", "ICY"} {
+			result, hasEnded := exchangeWith(t, newScriptedConn(nil, false, before+version+rest), false)
+			if !hasEnded || result.Response != nil || !result.Progress.MayHaveArrived() {
+				t.Errorf("%q: got ended %v, status %d, error %v; want an error", before+version, hasEnded, result.Status(), result.Err)
+			}
+			result.Release()
+		}
+		for _, version := range []string{"HTTP/1.0", "HTTP/1.1", "HTTP/1.2", "HTTP/1.9"} {
+			result, _ := exchangeWith(t, newScriptedConn(nil, false, before+version+rest), false)
+			if string(bodyOf(result)) != wholeBody {
+				t.Errorf("%q: got status %d, body %q, error %v; want the answer", before+version, result.Status(), bodyOf(result), result.Err)
+			}
+			result.Release()
+		}
+	}
+}
+
 // A head that is invalid from its first line on ends the exchange at once, however the upstream goes on.
 func TestInvalidStatusEndsExchangeBeforeEndOfHead(t *testing.T) {
 	for _, beginning := range []string{"HTTP/1.1 000", "HTTP/1.1 000 OK\r\n", "HTTP/1.1 000 " + strings.Repeat("x", 100)} {
--- a/pkg/gatekeeper/broken_test.go
+++ b/pkg/gatekeeper/broken_test.go
@@ -26,6 +26,9 @@
 		answers = append(answers, brokenAnswer{"status " + status, "HTTP/1.1 " + status + " OK\r\n" + lines, cutBody})
 	}
 	answers = append(answers, brokenAnswer{"status 099 before another answer", "HTTP/1.1 099 Hint\r\n\r\nHTTP/1.1 200 OK\r\n" + lines, cutBody})
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/2"} {
+		answers = append(answers, brokenAnswer{"version " + version, version + " 200 OK\r\n" + lines, cutBody})
+	}
 	for _, line := range []string{
 		"X Note: 1", "X-Note : 1", "X\tNote: 1", "X\x01Note: 1", "X-Note\x7f: 1", "\nX-Note: 1", "Content Length: 3", "Content-Length : 3", "Transfer Encoding: chunked", "Transfer-Encoding : chunked",
 		" X-Odd: 1", "\tX-Odd: 1", " ", " Content-Length: 3", "\tContent-Length: 3", " Transfer-Encoding: chunked", "\tTransfer-Encoding: chunked",
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -8,6 +8,9 @@
 var (
 	// ErrInvalidHead is the error for any invalid head. The bytes that follow belong to no response.
 	ErrInvalidHead = errors.New("the head of the response is invalid")
+	// ErrInvalidVersion is an ErrInvalidHead because the response does not begin with "HTTP/1." and a digit. RFC 9112 defines the heads of
+	// major version 1 alone.
+	ErrInvalidVersion = errors.Wrap(ErrInvalidHead, "the version is not HTTP/1")
 	// ErrInvalidStatus is an ErrInvalidHead because the status is not a number from 100 to 599, the range of RFC 9110, section 15.
 	ErrInvalidStatus = errors.Wrap(ErrInvalidHead, "the status is not between 100 and 599")
 	// ErrInvalidFieldName is an ErrInvalidHead because a line does not begin with a token and a colon, as RFC 9112, section 5, requires.
@@ -16,8 +19,12 @@
 	ErrInvalidFieldName = errors.Wrap(ErrInvalidHead, "the name of a field is invalid")
 )
 
-// statusDigits is the length of a status.
-const statusDigits = 3
+const (
+	// versionPrefix precedes the minor version, which is one digit.
+	versionPrefix = "HTTP/1."
+	// statusDigits is the length of a status.
+	statusDigits = 3
+)
 
 type headState int
 
@@ -38,6 +45,8 @@
 // Head verifies the head of one response while it arrives. The zero value is ready for use.
 type Head struct {
 	state headState
+	// versionBytes is how much of the version has been read.
+	versionBytes int
 	// status is the number that the digits read so far form.
 	status      int
 	digitsCount int
@@ -76,15 +85,9 @@
 		if next == '\r' || next == '\n' {
 			return beforeVersion, nil
 		}
-		return inVersion, nil
+		return h.afterVersion(next)
 	case inVersion:
-		if next == '\n' {
-			return inVersion, ErrInvalidStatus
-		}
-		if next == ' ' {
-			return beforeStatus, nil
-		}
-		return inVersion, nil
+		return h.afterVersion(next)
 	case beforeStatus:
 		if next == ' ' {
 			return beforeStatus, nil
@@ -112,9 +115,23 @@
 	}
 }
 
+func (h *Head) afterVersion(next byte) (headState, error) {
+	index := h.versionBytes
+	h.versionBytes++
+	switch {
+	case index < len(versionPrefix) && next == versionPrefix[index]:
+		return inVersion, nil
+	case index == len(versionPrefix) && isDigit(next):
+		return inVersion, nil
+	case index > len(versionPrefix) && next == ' ':
+		return beforeStatus, nil
+	}
+	return inVersion, ErrInvalidVersion
+}
+
 func (h *Head) afterStatus(next byte) (headState, error) {
 	if h.digitsCount < statusDigits {
-		if next < '0' || next > '9' {
+		if !isDigit(next) {
 			return inStatus, ErrInvalidStatus
 		}
 		h.status = 10*h.status + int(next-'0')
@@ -152,3 +169,5 @@
 	}
 	return inName, nil
 }
+
+func isDigit(next byte) bool { return next >= '0' && next <= '9' }
--- a/pkg/verifier/readers_test.go
+++ b/pkg/verifier/readers_test.go
@@ -94,6 +94,8 @@
 
 // invalidHeads are formats of responses with the length of their body and the body.
 var invalidHeads = []string{
+	"HTTP/2.0 200 OK\r\nContent-Length: %d\r\n\r\n%s",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/0.9 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 000 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 099 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: %d\r\n\r\n%s",
@@ -110,6 +112,8 @@
 }
 
 var soundHeads = []string{
+	"HTTP/1.0 200 OK\r\nContent-Length: %d\r\n\r\n%s",
+	"HTTP/1.2 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 200\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 200 OK\r\nX-Note: \t a  X\tNote : b\t\r\nContent-Length:\t%d \r\n\r\n%s",
