Reject answers with a control byte in the reason or in a value

Callers got an answer whose reason held a control byte, as "HTTP/1.1 200 OK\rX-Note: 1", and the list of leafs was taken from one. Of a carriage return, RFC 9112, section 2.2, wants the element rejected or the byte replaced, since other readers end the line there.

Cause: fasthttp checks the bytes of values, but not those of the reason. verifier.Head now rejects control bytes other than tabs in both. In values they were rejected before, but as an error of any kind, after which the list was asked for up to 5 times in a row; now it is asked for once.

Before the fix TestControlByteInLineIsNoAnswer failed for each control byte in the reason, as did TestPageWithInvalidHeadIsNotTakenForList, TestBrokenAnswersDoNotReachCallers and ...OtherInstances (plain, HEAD, relayed and gathered requests, queries), for instance

broken_test.go:65: reason "\rX-Note: 1": got status 200 with proof "proof-of-cut" after 1 runs, want 502 without one after 1 run

Reasons and values with tabs and bytes above 127 are taken as before. FuzzHead ran 20 s without a finding.

--- a/pkg/exchanger/head_test.go
+++ b/pkg/exchanger/head_test.go
@@ -117,6 +117,22 @@
 	}
 }
 
+// A carriage return within a line ends it for some readers, so that the rest is a field of its own. No other control byte than a tab is
+// allowed there either.
+func TestControlByteInLineIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 O%sK\r\nRequest-Id: r1\r\nNote: a%sb\r\nContent-Length: 16\r\n\r\n" + wholeBody
+	for value := range 256 {
+		for _, answer := range []string{fmt.Sprintf(head, string([]byte{byte(value)}), ""), fmt.Sprintf(head, "", string([]byte{byte(value)}))} {
+			result, _ := exchangeWith(t, newScriptedConn(io.EOF, false, answer), false)
+			isAllowed := value == '\t' || value >= ' ' && value != 0x7f
+			if isRead := string(bodyOf(result)) == wholeBody; isRead != isAllowed {
+				t.Errorf("%q: got status %d, body %q, error %v; want the answer %v", answer, result.Status(), bodyOf(result), result.Err, isAllowed)
+			}
+			result.Release()
+		}
+	}
+}
+
 // Each byte that RFC 9110 allows in the name of a field is passed on, and values keep their blanks.
 func TestValidFieldNamesArePassedOn(t *testing.T) {
 	const name = "!#$%&'*+-.^_`|~09AZaz"
--- a/pkg/gatekeeper/broken_test.go
+++ b/pkg/gatekeeper/broken_test.go
@@ -29,7 +29,11 @@
 	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/2"} {
 		answers = append(answers, brokenAnswer{"version " + version, version + " 200 OK\r\n" + lines, cutBody})
 	}
+	for _, reason := range []string{"O\rK", "O\x00K", "O\x7fK", "\rX-Note: 1"} {
+		answers = append(answers, brokenAnswer{fmt.Sprintf("reason %q", reason), "HTTP/1.1 200 " + reason + "\r\n" + lines, cutBody})
+	}
 	for _, line := range []string{
+		"X-Note: a\rX-Odd: 1", "X-Note: a\x00", "X-Note: \x7f",
 		"X Note: 1", "X-Note : 1", "X\tNote: 1", "X\x01Note: 1", "X-Note\x7f: 1", "\nX-Note: 1", "Content Length: 3", "Content-Length : 3", "Transfer Encoding: chunked", "Transfer-Encoding : chunked",
 		" X-Odd: 1", "\tX-Odd: 1", " ", " Content-Length: 3", "\tContent-Length: 3", " Transfer-Encoding: chunked", "\tTransfer-Encoding: chunked",
 	} {
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -13,6 +13,9 @@
 	ErrInvalidVersion = errors.Wrap(ErrInvalidHead, "the version is not HTTP/1")
 	// ErrInvalidStatus is an ErrInvalidHead because the status is not a number from 100 to 599, the range of RFC 9110, section 15.
 	ErrInvalidStatus = errors.Wrap(ErrInvalidHead, "the status is not between 100 and 599")
+	// ErrControlByte is an ErrInvalidHead because the reason or a value holds a control byte other than a tab, which RFC 9112, section 4, and
+	// RFC 9110, section 5.5, do not allow. Some readers take a carriage return in it for the end of the line.
+	ErrControlByte = errors.Wrap(ErrInvalidHead, "a line holds a control byte")
 	// ErrInvalidFieldName is an ErrInvalidHead because a line does not begin with a token and a colon, as RFC 9112, section 5, requires.
 	// That includes continuation lines, which section 5.2 lets a gateway discard the response for, and a line feed at the beginning of a
 	// name, which looks like the end of the head.
@@ -24,6 +27,8 @@
 	versionPrefix = "HTTP/1."
 	// statusDigits is the length of a status.
 	statusDigits = 3
+	// deleteByte is the control byte above the printable ones.
+	deleteByte = 0x7f
 )
 
 type headState int
@@ -108,10 +113,7 @@
 		}
 		return inEmptyLine, ErrInvalidFieldName
 	default:
-		if next == '\n' {
-			return h.afterLine(), nil
-		}
-		return h.state, nil
+		return h.afterText(next)
 	}
 }
 
@@ -150,6 +152,17 @@
 	return inStatus, ErrInvalidStatus
 }
 
+// afterText returns the state after a byte of the reason or of a value, or of the end of that line.
+func (h *Head) afterText(next byte) (headState, error) {
+	switch {
+	case next == '\n':
+		return h.afterLine(), nil
+	case h.previous == '\r', isControl(next) && next != '\r':
+		return h.state, ErrControlByte
+	}
+	return h.state, nil
+}
+
 // afterLine returns the state after the line feed of a line that is not empty.
 func (h *Head) afterLine() headState {
 	h.hasBareFeed = h.previous != '\r'
@@ -171,3 +184,5 @@
 }
 
 func isDigit(next byte) bool { return next >= '0' && next <= '9' }
+
+func isControl(next byte) bool { return next < ' ' && next != '\t' || next == deleteByte }
