Reject answers after a switch of protocol

A response with the status 101 was skipped like other interim ones, and what followed it was the answer that callers got.

Cause: exchanger takes each status below 200 for interim. After 101 the connection carries another protocol (RFC 9110, section 15.2.2), so that no answer of HTTP/1.1 can follow; and no request asks for one, since the field Upgrade is not passed on. verifier.Head rejects it for all readers. The others of fasthttp ended with an error already, since it returns 101 as the final status; they end at once now.

Before the fix TestSwitchOfProtocolIsNoAnswer, TestBrokenAnswersDoNotReachCallers and ...OtherInstances failed, for instance

broken_test.go:67: status 101 before another answer: got status 200 with proof "proof-of-cut" after 1 runs, want 502 without one after 1 run

100, 102 and 103 are skipped as before. The soak sends such answers too.

--- a/pkg/exchanger/head_test.go
+++ b/pkg/exchanger/head_test.go
@@ -35,6 +35,20 @@
 	}
 }
 
+// What follows the status 101 is of another protocol, which no request asks for, even if it looks like an answer.
+func TestSwitchOfProtocolIsNoAnswer(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 16\r\n\r\n" + wholeBody
+	for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+		for _, lines := range []string{"", "Upgrade: x\r\nConnection: upgrade\r\n", "Request-Id: r1\r\n"} {
+			result, hasEnded := exchangeWith(t, newScriptedConn(nil, false, before+"HTTP/1.1 101 Switching Protocols\r\n"+lines+"\r\n"+answer), false)
+			if !hasEnded || result.Response != nil || !result.Progress.MayHaveArrived() {
+				t.Errorf("%q, %q: got ended %v, status %d, error %v; want an error", before, lines, hasEnded, result.Status(), result.Err)
+			}
+			result.Release()
+		}
+	}
+}
+
 func TestValidStatusIsPassedOn(t *testing.T) {
 	for status := http.StatusOK; status < 600; status++ {
 		body := wholeBody
--- a/pkg/gatekeeper/broken_test.go
+++ b/pkg/gatekeeper/broken_test.go
@@ -25,7 +25,9 @@
 	for _, status := range []string{"000", "001", "099", "600", "999"} {
 		answers = append(answers, brokenAnswer{"status " + status, "HTTP/1.1 " + status + " OK\r\n" + lines, cutBody})
 	}
-	answers = append(answers, brokenAnswer{"status 099 before another answer", "HTTP/1.1 099 Hint\r\n\r\nHTTP/1.1 200 OK\r\n" + lines, cutBody})
+	for _, status := range []string{"099", "101"} {
+		answers = append(answers, brokenAnswer{"status " + status + " before another answer", "HTTP/1.1 " + status + " Hint\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\n" + lines, cutBody})
+	}
 	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/2"} {
 		answers = append(answers, brokenAnswer{"version " + version, version + " 200 OK\r\n" + lines, cutBody})
 	}
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
 )
 
@@ -13,6 +14,9 @@
 	ErrInvalidVersion = errors.Wrap(ErrInvalidHead, "the version is not HTTP/1")
 	// ErrInvalidStatus is an ErrInvalidHead because the status is not a number from 100 to 599, the range of RFC 9110, section 15.
 	ErrInvalidStatus = errors.Wrap(ErrInvalidHead, "the status is not between 100 and 599")
+	// ErrProtocolSwitch is an ErrInvalidHead because of the status 101. No request asks for another protocol, and the bytes after the head
+	// would be of that protocol.
+	ErrProtocolSwitch = errors.Wrap(ErrInvalidHead, "the status switches to another protocol")
 	// ErrControlByte is an ErrInvalidHead because the reason or a value holds a control byte other than a tab, which RFC 9112, section 4, and
 	// RFC 9110, section 5.5, do not allow. Some readers take a carriage return in it for the end of the line.
 	ErrControlByte = errors.Wrap(ErrInvalidHead, "a line holds a control byte")
@@ -138,8 +142,8 @@
 		}
 		h.status = 10*h.status + int(next-'0')
 		h.digitsCount++
-		if h.digitsCount == statusDigits && (h.status < 100 || h.status > 599) {
-			return inStatus, ErrInvalidStatus
+		if h.digitsCount == statusDigits {
+			return inStatus, checkStatus(h.status)
 		}
 		return inStatus, nil
 	}
@@ -152,6 +156,16 @@
 	return inStatus, ErrInvalidStatus
 }
 
+func checkStatus(status int) error {
+	switch {
+	case status < 100 || status > 599:
+		return ErrInvalidStatus
+	case status == fasthttp.StatusSwitchingProtocols:
+		return ErrProtocolSwitch
+	}
+	return nil
+}
+
 // afterText returns the state after a byte of the reason or of a value, or of the end of that line.
 func (h *Head) afterText(next byte) (headState, error) {
 	switch {
--- a/pkg/verifier/head_test.go
+++ b/pkg/verifier/head_test.go
@@ -29,6 +29,8 @@
 		{"HTTP/1.1 000 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
 		{"HTTP/1.1 099 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
 		{"HTTP/1.1 600 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
+		{"HTTP/1.1 101 Switch\r\n\r\n", 11, false, false, ErrProtocolSwitch},
+		{"HTTP/1.1 102 OK\r\n\r\n", 19, true, true, nil},
 		{"HTTP/1.1 20 OK\r\n\r\n", 11, false, false, ErrInvalidStatus},
 		{"HTTP/1.1 2000 OK\r\n\r\n", 12, false, false, ErrInvalidStatus},
 		{"HTTP/1.1\r\n\r\n", 8, false, false, ErrInvalidVersion},
--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -32,6 +32,7 @@
 	{"status 000", "HTTP/1.1 000 OK\r\n%[1]s" + sizedBody},
 	{"status 000 after an interim head", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n%[1]s" + sizedBody},
 	{"status 099 before an answer", "HTTP/1.1 099 Hint\r\n\r\n" + okLine + "%[1]s" + sizedBody},
+	{"status 101 before an answer", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + okLine + "%[1]s" + sizedBody},
 	{"status 999", "HTTP/1.1 999 OK\r\n%[1]s" + sizedBody},
 	{"other major version", "HTTP/2.0 200 OK\r\n%[1]s" + sizedBody},
 	{"carriage return in the reason", "HTTP/1.1 200 OK\rX-Note: 1\r\n%[1]s" + sizedBody},
