Reject a transfer encoding in other versions than HTTP/1.1 for all readers

The list of leafs was taken from an answer of HTTP/1.0 with a Transfer-Encoding and a Content-Length, whose framing RFC 9112, section 6.1, calls faulty. Answers to callers were rejected already.

Cause: the check was one of exchanger alone, while the programs of operators and callers, the own leafs and both lists read with verifier.Conn. It is now part of verifier.Head, with the error verifier.ErrInvalidFraming, and the one of exchanger is gone.

Before the fix TestPageWithInvalidHeadIsNotTakenForList failed:

cut_test.go:119: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chun": got 1 leafs and error <nil> after 1 requests, want an error after 1

The rows of TestAmbiguousFraming hold as before, and a new one in TestBrokenAnswersDoNotReachCallers held on the code before, too. FuzzHead ran 20 s without a finding.

--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -35,8 +35,6 @@
 	// refusalWindow is how soon after a request a reset means that the upstream did not accept the connection. It covers a
 	// round trip between data centres and is shorter than any upstream takes to serve a request.
 	refusalWindow = 6 * time.Millisecond
-	// versionPrefix begins each response of HTTP/1.1.
-	versionPrefix = "HTTP/1.1"
 	// statusLineBytes is the length of what statusLinePattern matches.
 	statusLineBytes = len("HTTP/1.1 200")
 	// minRemainingTime is the shortest remaining time that is sent to an upstream.
@@ -254,13 +252,9 @@
 }
 
 func (c *conn) readHead(response *fasthttp.Response) error {
-	head, err := c.peekHead()
-	if err != nil {
+	if _, err := c.peekHead(); err != nil {
 		return err
 	}
-	if isAmbiguous(head) {
-		return ErrInvalidFraming
-	}
 	if err := response.Header.Read(c.reader); err != nil {
 		return err
 	}
@@ -288,12 +282,6 @@
 	}
 }
 
-// isAmbiguous reports whether a head has a Transfer-Encoding and another version than HTTP/1.1. fasthttp would ignore the encoding and
-// take the chunks for the body.
-func isAmbiguous(head []byte) bool {
-	return !bytes.HasPrefix(head, []byte(versionPrefix)) && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding"))
-}
-
 // deliver completes the exchange and reports whether the connection may carry another one.
 func (c *conn) deliver(exchange *Exchange, response *fasthttp.Response, reserved int64) bool {
 	c.keepAlive = keepAliveTimeout(response)
--- a/pkg/exchanger/exchange.go
+++ b/pkg/exchanger/exchange.go
@@ -32,8 +32,6 @@
 	ErrResting = errors.New("the upstream has asked for rest")
 	// ErrResponseMismatch is returned if the response belongs to another request.
 	ErrResponseMismatch = errors.New("response belongs to another request")
-	// ErrInvalidFraming is returned if the length of the response is ambiguous.
-	ErrInvalidFraming = errors.New("the length of the response is ambiguous")
 	// ErrTooManyInterim is returned if the upstream sends too many 1xx responses before the final one.
 	ErrTooManyInterim = errors.New("too many interim responses")
 )
--- a/pkg/gatekeeper/broken_test.go
+++ b/pkg/gatekeeper/broken_test.go
@@ -31,6 +31,7 @@
 	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/9.9", "HTTP/2"} {
 		answers = append(answers, brokenAnswer{"version " + version, version + " 200 OK\r\n" + lines, cutBody})
 	}
+	answers = append(answers, brokenAnswer{"chunks in HTTP/1.0", strings.Replace(cutHead, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n" + cutBody + "\r\n0\r\n\r\n"})
 	for _, reason := range []string{"O\rK", "O\x00K", "O\x7fK", "\rX-Note: 1"} {
 		answers = append(answers, brokenAnswer{fmt.Sprintf("reason %q", reason), "HTTP/1.1 200 " + reason + "\r\n" + lines, cutBody})
 	}
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -1,6 +1,8 @@
 package verifier
 
 import (
+	"unicode"
+
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
@@ -20,6 +22,9 @@
 	// ErrControlByte is an ErrInvalidHead because the reason or a value holds a control byte other than a tab, which RFC 9112, section 4, and
 	// RFC 9110, section 5.5, do not allow. Some readers take a carriage return in it for the end of the line.
 	ErrControlByte = errors.Wrap(ErrInvalidHead, "a line holds a control byte")
+	// ErrInvalidFraming is an ErrInvalidHead because of a Transfer-Encoding in another version than HTTP/1.1, of which RFC 9112, section 6.1,
+	// says that the framing is faulty. fasthttp would ignore it and take the chunks for the body.
+	ErrInvalidFraming = errors.Wrap(ErrInvalidHead, "a version other than HTTP/1.1 has a transfer encoding")
 	// ErrInvalidFieldName is an ErrInvalidHead because a line does not begin with a token and a colon, as RFC 9112, section 5, requires.
 	// That includes continuation lines, which section 5.2 lets a gateway discard the response for, and a line feed at the beginning of a
 	// name, which looks like the end of the head.
@@ -29,6 +34,9 @@
 const (
 	// versionPrefix precedes the minor version, which is one digit.
 	versionPrefix = "HTTP/1."
+	// chunkedVersion is the minor version that defines the transfer encodings that fasthttp reads.
+	chunkedVersion = '1'
+	encodingName   = "transfer-encoding"
 	// statusDigits is the length of a status.
 	statusDigits = 3
 	// deleteByte is the control byte above the printable ones.
@@ -56,9 +64,13 @@
 	state headState
 	// versionBytes is how much of the version has been read.
 	versionBytes int
+	minorVersion byte
 	// status is the number that the digits read so far form.
 	status      int
 	digitsCount int
+	// nameBytes is the length of the name read so far, and isEncodingName whether encodingName begins with it.
+	nameBytes      int
+	isEncodingName bool
 	// previous is the last byte taken.
 	previous byte
 	// hasBareFeed is set if the last line ended without a carriage return.
@@ -107,10 +119,7 @@
 	case atLineStart:
 		return h.afterLineStart(next)
 	case inName:
-		if next == ':' {
-			return inValue, nil
-		}
-		return afterName(next)
+		return h.afterName(next)
 	case inEmptyLine:
 		if next == '\n' {
 			return complete, nil
@@ -128,6 +137,7 @@
 	case index < len(versionPrefix) && next == versionPrefix[index]:
 		return inVersion, nil
 	case index == len(versionPrefix) && isDigit(next):
+		h.minorVersion = next
 		return inVersion, nil
 	case index > len(versionPrefix) && next == ' ':
 		return beforeStatus, nil
@@ -187,13 +197,22 @@
 	if next == '\r' && !h.hasBareFeed {
 		return inEmptyLine, nil
 	}
-	return afterName(next)
+	h.nameBytes, h.isEncodingName = 0, true
+	return h.afterName(next)
 }
 
-func afterName(next byte) (headState, error) {
-	if !httpguts.IsTokenRune(rune(next)) {
+func (h *Head) afterName(next byte) (headState, error) {
+	isWholeName := h.nameBytes == len(encodingName)
+	switch {
+	case next == ':' && h.isEncodingName && isWholeName && h.minorVersion != chunkedVersion:
+		return inName, ErrInvalidFraming
+	case next == ':' && h.nameBytes > 0:
+		return inValue, nil
+	case !httpguts.IsTokenRune(rune(next)):
 		return inName, ErrInvalidFieldName
 	}
+	h.isEncodingName = h.isEncodingName && !isWholeName && unicode.ToLower(rune(next)) == rune(encodingName[h.nameBytes])
+	h.nameBytes++
 	return inName, nil
 }
 
