Reject a head that another answer begins in, also in fields that fasthttp drops

Callers got a status 200 with the body and the stamp of an answer 500, where a leaf broke off one answer within the value of Content-Type, Content-Encoding or Server and started another one that had the same field. The list of leafs was taken from such answers, too.

Cause: exchanger looked for a second status line in the fields that fasthttp had read. Of these three fasthttp keeps the last line alone, so that the one with the status line was gone. The other readers did not look at all. Now verifier.Head finds the status line in the bytes of the reason and the values, for all readers, and the search of exchanger over the fields is gone.

Before the fix TestAnswerCutByAnotherIsNoAnswer failed with an answer that has the fields of the one that is cut,

cut_test.go:272: cut after "\r\nContent-Type: text": got status 200, reason "OK", body "xyz"; want an error

and so did TestPageWithInvalidHeadIsNotTakenForList, TestBrokenAnswersDoNotReachCallers and ...OtherInstances (plain, HEAD, relayed and gathered requests, queries).

--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -196,20 +196,6 @@
 	}
 }
 
-// containsStatusLine reports whether a status line stands within the head, which happens if the upstream breaks off one
-// response within its head and starts another.
-func containsStatusLine(response *fasthttp.Response) bool {
-	if statusLinePattern.Match(response.Header.StatusMessage()) {
-		return true
-	}
-	for name, value := range response.Header.All() {
-		if statusLinePattern.Match(name) || statusLinePattern.Match(value) {
-			return true
-		}
-	}
-	return false
-}
-
 // isBodyBrokenOff reports whether a status line begins within the body and more bytes follow the body, which happens if the upstream
 // breaks off one response within its body and starts another.
 func (c *conn) isBodyBrokenOff(response *fasthttp.Response) bool {
@@ -252,32 +238,26 @@
 }
 
 func (c *conn) readHead(response *fasthttp.Response) error {
-	if _, err := c.peekHead(); err != nil {
+	if err := c.awaitHead(); err != nil {
 		return err
 	}
-	if err := response.Header.Read(c.reader); err != nil {
-		return err
-	}
-	if containsStatusLine(response) {
-		return ErrResponseMismatch
-	}
-	return nil
+	return response.Header.Read(c.reader)
 }
 
-// peekHead waits until the buffer holds a whole and valid head, and returns it without reading it.
-func (c *conn) peekHead() ([]byte, error) {
+// awaitHead waits until the buffer holds a whole and valid head.
+func (c *conn) awaitHead() error {
 	var head verifier.Head
 	for length := 0; ; {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
 		validBytes, err := head.Verify(buffered[length:])
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if length += validBytes; head.IsComplete() {
-			return buffered[:length], nil
+			return nil
 		}
 		if _, err := c.reader.Peek(length + 1); err != nil {
-			return nil, err
+			return err
 		}
 	}
 }
--- a/pkg/exchanger/cut_test.go
+++ b/pkg/exchanger/cut_test.go
@@ -115,6 +115,7 @@
 	{name: "Content-Length", status: 200, body: wholeBody, answer: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nDate: Fri, 04 Dec 2026 10:00:00 GMT\r\n" +
 		"Content-Type: text/plain\r\nContent-Length: 16\r\n\r\n" + wholeBody},
 	{name: "Content-Length first", status: 200, body: wholeBody, answer: "HTTP/1.1 200 OK\r\nContent-Length: 16\r\nServer: leaf\r\nSet-Cookie: a=b\r\nProof: p-r1\r\nRequest-Id: r1\r\n\r\n" + wholeBody},
+	{name: "encoded", status: 200, body: wholeBody, answer: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Encoding: gzip\r\nContent-Length: 16\r\n\r\n" + wholeBody},
 	{name: "close after the body", status: 200, body: wholeBody, answer: "HTTP/1.1 200 OK\r\nConnection: close\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 16\r\n\r\n" + wholeBody},
 	{name: "no body", status: 200, answer: "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 0\r\n\r\n"},
 	{name: "no reason", status: 200, body: wholeBody, answer: "HTTP/1.1 200\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 16\r\n\r\n" + wholeBody},
@@ -254,6 +255,8 @@
 		{"no reason", "HTTP/1.1 500\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 3\r\n\r\nxyz"},
 		{"interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 500 Fault\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Length: 3\r\n\r\nxyz"},
 		{"chunked", "HTTP/1.1 500 Fault\r\nRequest-Id: r1\r\nProof: p-r1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n"},
+		{"fields that are cut", "HTTP/1.1 500 Fault\r\nRequest-Id: r1\r\nProof: p-r1\r\nContent-Type: text/plain\r\nContent-Encoding: x\r\nServer: leaf\r\nSet-Cookie: a=b\r\n" +
+			"Trailer: Sum\r\nConnection: close\r\nContent-Length: 3\r\n\r\nxyz"},
 	}
 	for _, form := range answerForms {
 		for _, other := range others {
--- a/pkg/gatekeeper/broken_test.go
+++ b/pkg/gatekeeper/broken_test.go
@@ -32,6 +32,10 @@
 		answers = append(answers, brokenAnswer{"version " + version, version + " 200 OK\r\n" + lines, cutBody})
 	}
 	answers = append(answers, brokenAnswer{"chunks in HTTP/1.0", strings.Replace(cutHead, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n" + cutBody + "\r\n0\r\n\r\n"})
+	for _, line := range []string{"Content-Type: a", "Content-Encoding: a", "Server: a", "X-Note: a", "Set-Cookie: a=b"} {
+		other := "HTTP/1.1 500 Fault\r\n" + line + "\r\n" + lines
+		answers = append(answers, brokenAnswer{fmt.Sprintf("broken off in %q by another answer", line), cutHead + line + other, cutBody})
+	}
 	for _, reason := range []string{"O\rK", "O\x00K", "O\x7fK", "\rX-Note: 1"} {
 		answers = append(answers, brokenAnswer{fmt.Sprintf("reason %q", reason), "HTTP/1.1 200 " + reason + "\r\n" + lines, cutBody})
 	}
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -25,6 +25,9 @@
 	// ErrInvalidFraming is an ErrInvalidHead because of a Transfer-Encoding in another version than HTTP/1.1, of which RFC 9112, section 6.1,
 	// says that the framing is faulty. fasthttp would ignore it and take the chunks for the body.
 	ErrInvalidFraming = errors.Wrap(ErrInvalidHead, "a version other than HTTP/1.1 has a transfer encoding")
+	// ErrSecondStatusLine is an ErrInvalidHead because a status line stands within a line, which happens if the upstream breaks off one
+	// response in its head and starts another.
+	ErrSecondStatusLine = errors.Wrap(ErrInvalidHead, "a line holds the status line of another response")
 	// ErrInvalidFieldName is an ErrInvalidHead because a line does not begin with a token and a colon, as RFC 9112, section 5, requires.
 	// That includes continuation lines, which section 5.2 lets a gateway discard the response for, and a line feed at the beginning of a
 	// name, which looks like the end of the head.
@@ -37,6 +40,8 @@
 	// chunkedVersion is the minor version that defines the transfer encodings that fasthttp reads.
 	chunkedVersion = '1'
 	encodingName   = "transfer-encoding"
+	// statusLineForm begins each status line; 0 stands for any digit.
+	statusLineForm = "HTTP/1.0 000"
 	// statusDigits is the length of a status.
 	statusDigits = 3
 	// deleteByte is the control byte above the printable ones.
@@ -71,6 +76,8 @@
 	// nameBytes is the length of the name read so far, and isEncodingName whether encodingName begins with it.
 	nameBytes      int
 	isEncodingName bool
+	// formBytes is how much of statusLineForm the last bytes of the line match.
+	formBytes int
 	// previous is the last byte taken.
 	previous byte
 	// hasBareFeed is set if the last line ended without a carriage return.
@@ -183,13 +190,30 @@
 		return h.afterLine(), nil
 	case h.previous == '\r', isControl(next) && next != '\r':
 		return h.state, ErrControlByte
+	case h.endsStatusLine(next):
+		return h.state, ErrSecondStatusLine
 	}
 	return h.state, nil
 }
 
+// endsStatusLine reports whether a status line, as far as its status, ends with the next byte of a line.
+func (h *Head) endsStatusLine(next byte) bool {
+	form := statusLineForm[h.formBytes]
+	switch {
+	case form == next, form == '0' && isDigit(next):
+		h.formBytes++
+	case next == statusLineForm[0]:
+		h.formBytes = 1
+	default:
+		h.formBytes = 0
+	}
+	return h.formBytes == len(statusLineForm)
+}
+
 // afterLine returns the state after the line feed of a line that is not empty.
 func (h *Head) afterLine() headState {
 	h.hasBareFeed = h.previous != '\r'
+	h.formBytes = 0
 	return atLineStart
 }
 
--- a/pkg/verifier/readers_test.go
+++ b/pkg/verifier/readers_test.go
@@ -102,6 +102,8 @@
 	"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
 	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: %d\r\n\r\n%s",
+	"HTTP/1.1 200 OK\r\nContent-Type: aHTTP/1.1 200 OK\r\nContent-Type: a\r\nContent-Length: %d\r\n\r\n%s",
+	"HTTP/1.1 200 OK\r\nX-Note: HTTP/1.0 500 Fault\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 200 O\rK\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 200 O\x00K\r\nContent-Length: %d\r\n\r\n%s",
 	"HTTP/1.1 200 OK\r\nX-Note: a\rX-Odd: 1\r\nContent-Length: %d\r\n\r\n%s",
