Pass on all lines of Content-Encoding, Content-Type and Server

A leaf sent "Content-Encoding: a" and "Content-Encoding: b", which is one list by RFC 9110, section 5.3. Callers got "Content-Encoding: b" alone, and none after "Content-Encoding: a" and an empty one, so that they would take the coded bytes for the body.

Cause: fasthttp keeps the last line of these three fields. The exchanger now reads them from the bytes of the head, where a field has several lines, and joins the values with commas.

Before the fix, TestRepeatedFieldsArePassedOn:

"Content-Encoding: a\r\nContent-Encoding:\r\n": got status 200, error <nil>; want Content-Encoding: "a, " in [a head without it]

Answers with one line of each are as before.

--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -41,8 +41,12 @@
 	minRemainingTime = time.Millisecond
 )
 
-// statusLinePattern matches the beginning of a response.
-var statusLinePattern = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+var (
+	// statusLinePattern matches the beginning of a response.
+	statusLinePattern = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+	// lastLineFields are the fields of which fasthttp keeps the last line alone.
+	lastLineFields = []string{fasthttp.HeaderContentType, fasthttp.HeaderContentEncoding, fasthttp.HeaderServer}
+)
 
 type conn struct {
 	pool      *Pool
@@ -238,26 +242,60 @@
 }
 
 func (c *conn) readHead(response *fasthttp.Response) error {
-	if err := c.awaitHead(); err != nil {
+	head, err := c.peekHead()
+	if err != nil {
+		return err
+	}
+	repeated := repeatedFieldsOf(head)
+	if err := response.Header.Read(c.reader); err != nil {
 		return err
 	}
-	return response.Header.Read(c.reader)
+	for name, value := range repeated {
+		response.Header.Set(name, value)
+	}
+	return nil
 }
 
-// awaitHead waits until the buffer holds a whole and valid head.
-func (c *conn) awaitHead() error {
+// repeatedFieldsOf returns those of lastLineFields that have several lines, with their values separated by commas, which means the same
+// by RFC 9110, section 5.3.
+func repeatedFieldsOf(head []byte) map[string]string {
+	var repeated map[string]string
+	for _, name := range lastLineFields {
+		if values := valuesOf(head, name); len(values) > 1 {
+			if repeated == nil {
+				repeated = map[string]string{}
+			}
+			repeated[name] = string(bytes.Join(values, []byte(", ")))
+		}
+	}
+	return repeated
+}
+
+// valuesOf returns the values of a field in a valid head.
+func valuesOf(head []byte, name string) [][]byte {
+	var values [][]byte
+	for line := range bytes.Lines(head) {
+		if lineName, value, _ := bytes.Cut(line, []byte{':'}); len(lineName) == len(name) && strings.EqualFold(string(lineName), name) {
+			values = append(values, bytes.TrimSpace(value))
+		}
+	}
+	return values
+}
+
+// peekHead waits until the buffer holds a whole and valid head, and returns it without reading it.
+func (c *conn) peekHead() ([]byte, error) {
 	var head verifier.Head
 	for length := 0; ; {
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
 		validBytes, err := head.Verify(buffered[length:])
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if length += validBytes; head.IsComplete() {
-			return nil
+			return buffered[:length], nil
 		}
 		if _, err := c.reader.Peek(length + 1); err != nil {
-			return err
+			return nil, err
 		}
 	}
 }
--- a/pkg/exchanger/head_test.go
+++ b/pkg/exchanger/head_test.go
@@ -172,6 +172,31 @@
 	}
 }
 
+// A field with several lines means the same as one with their values, separated by commas. A body with two codings must not look as if it
+// had one, or none.
+func TestRepeatedFieldsArePassedOn(t *testing.T) {
+	cases := []struct {
+		lines, name, want string
+	}{
+		{"Content-Encoding: a\r\nContent-Encoding: b\r\n", "Content-Encoding", "a, b"},
+		{"content-encoding:a\r\nNote: c\r\nCONTENT-ENCODING: \tb \r\n", "Content-Encoding", "a, b"},
+		{"Content-Encoding: a\r\nContent-Encoding:\r\n", "Content-Encoding", "a, "},
+		{"Content-Encoding: a\r\n", "Content-Encoding", "a"},
+		{"Content-Type: a\r\nContent-Type: b\r\nContent-Type: c\r\n", "Content-Type", "a, b, c"},
+		{"Server: a\r\nServer: b\r\n", "Server", "a, b"},
+	}
+	for _, c := range cases {
+		answer := "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + c.lines + "Content-Length: 16\r\n\r\n" + wholeBody
+		result, _ := exchangeWith(t, newScriptedConn(nil, false, answer), false)
+		if result.Response == nil || string(bodyOf(result)) != wholeBody {
+			t.Errorf("%q: got status %d, error %v; want the answer", c.lines, result.Status(), result.Err)
+		} else if got := string(result.Response.Header.Peek(c.name)); got != c.want {
+			t.Errorf("%q: got %s: %q, want %q", c.lines, c.name, got, c.want)
+		}
+		result.Release()
+	}
+}
+
 // The fields of a trailer are not passed on, with valid names or not.
 func TestFieldsOfTrailerAreNotPassedOn(t *testing.T) {
 	for _, line := range []string{"Tail: 1", "X Tail: 1", "Tail : 1", "X\x01Tail: 1"} {
