Reject answers that name several requests

Callers got an answer with "Request-Id: r1" and "Request-Id: r2", on the connection of request r1. By RFC 9110, section 5.3, such a field means "r1, r2", and the answer may belong to either.

Cause: the exchanger compared the first of the values alone. All of them must name the request now; an answer with several ids ends the exchange, while one with another id alone is still skipped as a late answer to an earlier request.

Before the fix, TestAnswerToSeveralRequestsIsNoAnswer:

head_test.go:216: "Request-Id: r1\r\nRequest-Id: r2\r\n": got ended true, status 200, error <nil>; want the answer false

--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -182,12 +182,12 @@
 			c.pool.quotaFor(exchange.request).Release(reserved)
 			return ErrResponseMismatch
 		}
-		id := response.Header.Peek(c.pool.config.Headers.RequestID)
-		if string(id) != exchange.request.ID {
-			hasNoID := len(id) == 0
+		ids := response.Header.PeekAll(c.pool.config.Headers.RequestID)
+		if !nameOnly(ids, exchange.request.ID) {
+			isOfOtherRequest := len(ids) == 1 && len(ids[0]) > 0
 			fasthttp.ReleaseResponse(response)
 			c.pool.quotaFor(exchange.request).Release(reserved)
-			if hasNoID || c.sawMismatch {
+			if !isOfOtherRequest || c.sawMismatch {
 				return ErrResponseMismatch
 			}
 			// This is a duplicate response to an earlier request. The response to the current one is still to come.
@@ -200,6 +200,16 @@
 	}
 }
 
+// nameOnly reports whether the ids in a response name the request, and no other one.
+func nameOnly(ids [][]byte, id string) bool {
+	for _, value := range ids {
+		if string(value) != id {
+			return false
+		}
+	}
+	return len(ids) > 0
+}
+
 // isBodyBrokenOff reports whether a status line begins within the body and more bytes follow the body, which happens if the upstream
 // breaks off one response within its body and starts another.
 func (c *conn) isBodyBrokenOff(response *fasthttp.Response) bool {
--- a/pkg/exchanger/head_test.go
+++ b/pkg/exchanger/head_test.go
@@ -197,6 +197,28 @@
 	}
 }
 
+// An answer that names several requests may belong to another one.
+func TestAnswerToSeveralRequestsIsNoAnswer(t *testing.T) {
+	cases := []struct {
+		lines  string
+		isRead bool
+	}{
+		{"Request-Id: r1\r\nRequest-Id: r2\r\n", false},
+		{"Request-Id: r2\r\nRequest-Id: r1\r\n", false},
+		{"Request-Id: r1\r\nRequest-Id:\r\n", false},
+		{"Request-Id: r1, r2\r\n", false},
+		{"Request-Id: r1\r\nrequest-id: r1\r\n", true},
+	}
+	for _, c := range cases {
+		answer := "HTTP/1.1 200 OK\r\n" + c.lines + "Content-Length: 16\r\n\r\n" + wholeBody
+		result, hasEnded := exchangeWith(t, newScriptedConn(io.EOF, false, answer), false)
+		if isRead := string(bodyOf(result)) == wholeBody; !hasEnded || isRead != c.isRead || !isRead && result.Response != nil {
+			t.Errorf("%q: got ended %v, status %d, error %v; want the answer %v", c.lines, hasEnded, result.Status(), result.Err, c.isRead)
+		}
+		result.Release()
+	}
+}
+
 // The fields of a trailer are not passed on, with valid names or not.
 func TestFieldsOfTrailerAreNotPassedOn(t *testing.T) {
 	for _, line := range []string{"Tail: 1", "X Tail: 1", "Tail : 1", "X\x01Tail: 1"} {
