--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -36,6 +36,7 @@
 	{"status 999", "HTTP/1.1 999 OK\r\n%[1]s" + sizedBody},
 	{"other major version", "HTTP/2.0 200 OK\r\n%[1]s" + sizedBody},
 	{"carriage return in the reason", "HTTP/1.1 200 OK\rX-Note: 1\r\n%[1]s" + sizedBody},
+	{"status line of another answer in a line", okLine + "Content-Type: aHTTP/1.1 500 Fault\r\nContent-Type: a\r\n%[1]s" + sizedBody},
 	{"blank in a name", okLine + "%[1]sX Note: 1\r\n" + sizedBody},
 	{"blank after a name", okLine + "%[1]sX-Note : 1\r\n" + sizedBody},
 	{"control byte in a name", okLine + "%[1]sX\x01Note: 1\r\n" + sizedBody},
