--- a/pkg/exchanger/conn.go
+++ b/pkg/exchanger/conn.go
@@ -41,12 +41,8 @@
 	minRemainingTime = time.Millisecond
 )
 
-var (
-	// statusLinePattern matches the beginning of a response.
-	statusLinePattern = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
-	// lastLineFields are the fields of which fasthttp keeps the last line alone.
-	lastLineFields = []string{fasthttp.HeaderContentType, fasthttp.HeaderContentEncoding, fasthttp.HeaderServer}
-)
+// statusLinePattern matches the beginning of a response.
+var statusLinePattern = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
 
 type conn struct {
 	pool      *Pool
@@ -200,16 +196,6 @@
 	}
 }
 
-// nameOnly reports whether the ids in a response name the request, and no other one.
-func nameOnly(ids [][]byte, id string) bool {
-	for _, value := range ids {
-		if string(value) != id {
-			return false
-		}
-	}
-	return len(ids) > 0
-}
-
 // isBodyBrokenOff reports whether a status line begins within the body and more bytes follow the body, which happens if the upstream
 // breaks off one response within its body and starts another.
 func (c *conn) isBodyBrokenOff(response *fasthttp.Response) bool {
@@ -266,32 +252,6 @@
 	return nil
 }
 
-// repeatedFieldsOf returns those of lastLineFields that have several lines, with their values separated by commas, which means the same
-// by RFC 9110, section 5.3.
-func repeatedFieldsOf(head []byte) map[string]string {
-	var repeated map[string]string
-	for _, name := range lastLineFields {
-		if values := valuesOf(head, name); len(values) > 1 {
-			if repeated == nil {
-				repeated = map[string]string{}
-			}
-			repeated[name] = string(bytes.Join(values, []byte(", ")))
-		}
-	}
-	return repeated
-}
-
-// valuesOf returns the values of a field in a valid head.
-func valuesOf(head []byte, name string) [][]byte {
-	var values [][]byte
-	for line := range bytes.Lines(head) {
-		if lineName, value, _ := bytes.Cut(line, []byte{':'}); len(lineName) == len(name) && strings.EqualFold(string(lineName), name) {
-			values = append(values, bytes.TrimSpace(value))
-		}
-	}
-	return values
-}
-
 // peekHead waits until the buffer holds a whole and valid head, and returns it without reading it.
 func (c *conn) peekHead() ([]byte, error) {
 	var head verifier.Head
