Verify whole field lines at once

A field line that has arrived whole and is valid at first sight is now taken at once, tried once a line; all others are taken byte by byte as before.

--- a/pkg/exchanger/fields.go
+++ b/pkg/exchanger/fields.go
@@ -12,33 +12,51 @@
 )
 
 // lastLineFields are the fields of which fasthttp keeps the last line alone.
-var lastLineFields = []string{fasthttp.HeaderContentType, fasthttp.HeaderContentEncoding, fasthttp.HeaderServer}
+var lastLineFields = [...]string{fasthttp.HeaderContentType, fasthttp.HeaderContentEncoding, fasthttp.HeaderServer}
 
-// repeatedFieldsOf returns those of lastLineFields that have several lines, each with all its values.
+// repeatedFieldsOf returns those of lastLineFields that have several lines, each with all its values. Few answers have one.
 func repeatedFieldsOf(head []byte) map[string]string {
 	var repeated map[string]string
-	for _, name := range lastLineFields {
-		if values := valuesOf(head, name); len(values) > 1 {
-			if repeated == nil {
-				repeated = map[string]string{}
-			}
-			repeated[name] = string(bytes.Join(values, []byte(", ")))
+	for i, count := range countLines(head) {
+		if count < 2 {
+			continue
+		}
+		if repeated == nil {
+			repeated = map[string]string{}
 		}
+		repeated[lastLineFields[i]] = string(bytes.Join(valuesOf(head, lastLineFields[i]), []byte(", ")))
 	}
 	return repeated
 }
 
+// countLines returns the number of lines of each of lastLineFields in a valid head.
+func countLines(head []byte) (counts [len(lastLineFields)]int) {
+	for line := range bytes.Lines(head) {
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		for i, field := range lastLineFields {
+			if isField(name, field) {
+				counts[i]++
+			}
+		}
+	}
+	return counts
+}
+
 // valuesOf returns the values of a field in a valid head.
-func valuesOf(head []byte, name string) [][]byte {
+func valuesOf(head []byte, field string) [][]byte {
 	var values [][]byte
 	for line := range bytes.Lines(head) {
-		if lineName, value, _ := bytes.Cut(line, []byte{':'}); len(lineName) == len(name) && strings.EqualFold(string(lineName), name) {
+		if name, value, _ := bytes.Cut(line, []byte{':'}); isField(name, field) {
 			values = append(values, bytes.TrimSpace(value))
 		}
 	}
 	return values
 }
 
+func isField(name []byte, field string) bool {
+	return len(name) == len(field) && strings.EqualFold(string(name), field)
+}
+
 // nameOnly reports whether the ids in a response name the request, and no other one.
 func nameOnly(ids [][]byte, id string) bool {
 	for _, value := range ids {
--- a/pkg/verifier/head.go
+++ b/pkg/verifier/head.go
@@ -1,6 +1,7 @@
 package verifier
 
 import (
+	"bytes"
 	"unicode"
 
 	"github.com/pkg/errors"
@@ -73,7 +74,7 @@
 	// status is the number that the digits read so far form.
 	status      int
 	digitsCount int
-	// nameBytes is the length of the name read so far, and isEncodingName whether encodingName begins with it.
+	// nameBytes is the length of the name read so far. isEncodingName is set if encodingName begins with it and is not allowed.
 	nameBytes      int
 	isEncodingName bool
 	// formBytes is how much of statusLineForm the last bytes of the line match.
@@ -93,18 +94,52 @@
 // Verify takes the next bytes of a response and returns how many of them belong to the head and are valid. The error is an
 // ErrInvalidHead, after which the Head must not be used any more.
 func (h *Head) Verify(data []byte) (validBytes int, err error) {
-	for i, next := range data {
+	for i := 0; i < len(data); i++ {
 		if h.IsComplete() {
 			return i, nil
 		}
-		if h.state, err = h.after(next); err != nil {
+		i += h.takePlainField(data[i:])
+		if h.state, err = h.after(data[i]); err != nil {
 			return i, err
 		}
-		h.previous = next
+		h.previous = data[i]
 	}
 	return len(data), nil
 }
 
+// takePlainField takes a whole field line but for its end, if that is valid at first sight, and returns its length. Otherwise it returns 0,
+// and the bytes have to be taken one by one.
+func (h *Head) takePlainField(data []byte) int {
+	if h.state != atLineStart || h.minorVersion != chunkedVersion {
+		return 0
+	}
+	line := bytes.TrimSuffix(data[:max(0, bytes.IndexByte(data, '\n'))], []byte{'\r'})
+	name, value, isField := bytes.Cut(line, []byte{':'})
+	if !isField || !isToken(name) || hasControl(value) || bytes.Contains(value, []byte(versionPrefix)) {
+		return 0
+	}
+	h.state, h.previous = inValue, line[len(line)-1]
+	return len(line)
+}
+
+func isToken(name []byte) bool {
+	for _, next := range name {
+		if !httpguts.IsTokenRune(rune(next)) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+func hasControl(text []byte) bool {
+	for _, next := range text {
+		if isControl(next) {
+			return true
+		}
+	}
+	return false
+}
+
 // after returns the state after the next byte. It accepts lines that end without a carriage return, except the last two, and empty lines
 // before the head, as fasthttp does.
 func (h *Head) after(next byte) (headState, error) {
@@ -221,21 +256,22 @@
 	if next == '\r' && !h.hasBareFeed {
 		return inEmptyLine, nil
 	}
-	h.nameBytes, h.isEncodingName = 0, true
+	h.isEncodingName = h.minorVersion != chunkedVersion
 	return h.afterName(next)
 }
 
 func (h *Head) afterName(next byte) (headState, error) {
-	isWholeName := h.nameBytes == len(encodingName)
 	switch {
-	case next == ':' && h.isEncodingName && isWholeName && h.minorVersion != chunkedVersion:
-		return inName, ErrInvalidFraming
 	case next == ':' && h.nameBytes > 0:
+		if h.isEncodingName && h.nameBytes == len(encodingName) {
+			return inName, ErrInvalidFraming
+		}
+		h.nameBytes, h.isEncodingName = 0, false
 		return inValue, nil
 	case !httpguts.IsTokenRune(rune(next)):
 		return inName, ErrInvalidFieldName
 	}
-	h.isEncodingName = h.isEncodingName && !isWholeName && unicode.ToLower(rune(next)) == rune(encodingName[h.nameBytes])
+	h.isEncodingName = h.isEncodingName && h.nameBytes < len(encodingName) && unicode.ToLower(rune(next)) == rune(encodingName[h.nameBytes])
 	h.nameBytes++
 	return inName, nil
 }
