Ignore lists of leafs that were read before the one in use

Cause: an entry instance that cannot get a current list fetches it itself. Rosters were ordered by the term and sequence of their publisher only, so that a list of a control instance replaced the fetched one even if it was read earlier. The other way round, once the control instances read the same list as before again, the fetched one stayed in use for good.

Change: a roster carries when it was read, on the clock of the instance that holds it, counted from the beginning of the fetch and from the question to the control instance, so that a pause does not make a list look newer. The fleet ignores a list that was read before the one in use; a list that is not in use is passed on again once it has been read later.

Evidence: TestListReadEarlierIsIgnored fails without the comparison ("a list that was read earlier replaced the one in use").

--- a/pkg/controller/client.go
+++ b/pkg/controller/client.go
@@ -45,6 +45,9 @@
 		OnView func(view *tabulator.View)
 		// OnRoster receives each newer leaf roster from a renewal reply. It may be nil.
 		OnRoster func(roster lister.Roster)
+		// OnRosterRead receives the stamp of the current roster, and when the list was last read with its content, after each renewal. It
+		// reports whether that roster is in use; otherwise OnRoster receives it. It may be nil.
+		OnRosterRead func(stamp lister.RosterStamp, readAt time.Duration) (isInUse bool)
 		// OnLeaseChange is called when the lease is acquired or lost. It may be nil.
 		OnLeaseChange func(isHeld bool)
 		// CountRequests returns the number of requests of this instance in the last window. If nil, 0 is reported.
@@ -269,7 +272,7 @@
 	if newView != view {
 		c.setView(newView)
 	}
-	c.applyReply(reply)
+	c.applyReply(reply, sentAt)
 	select {
 	case <-c.stop:
 		return errors.New("renew: the instance is leaving")
@@ -280,23 +283,35 @@
 	return nil
 }
 
-// applyReply applies the parts of a renewal reply other than the view.
-func (c *Client) applyReply(reply RenewReply) {
+// applyReply applies the parts of the reply to a renewal sent at sentAt other than the view.
+func (c *Client) applyReply(reply RenewReply, sentAt time.Duration) {
 	if reply.Renewal > 0 {
 		c.renewalInterval = reply.Renewal
 	}
 	if len(reply.Control) > 0 {
 		c.peers.setAddresses(reply.Control)
 	}
-	if c.rosterStore.Apply(reply.Roster) && c.config.OnRoster != nil {
-		c.config.OnRoster(c.rosterStore.FullRoster())
-	}
-	c.rosterStore.Confirm(reply.Reading)
+	isNew := c.rosterStore.Apply(reply.Roster)
+	c.rosterStore.Confirm(reply.Reading, sentAt)
+	c.passOnRoster(isNew)
 	if c.config.OnTotalRequests != nil {
 		c.config.OnTotalRequests(reply.Requests)
 	}
 }
 
+// passOnRoster passes on a new roster, and otherwise when the current one was last read.
+func (c *Client) passOnRoster(isNew bool) {
+	if c.config.OnRoster == nil {
+		return
+	}
+	if readAt, isKnown := c.rosterStore.LastReadAt(); !isNew && isKnown && c.config.OnRosterRead != nil {
+		isNew = !c.config.OnRosterRead(c.rosterStore.Stamp(), readAt)
+	}
+	if isNew {
+		c.config.OnRoster(c.rosterStore.FullRoster())
+	}
+}
+
 func (c *Client) setView(view *tabulator.View) {
 	c.mu.Lock()
 	hasNewTable := view.TableRevision() != c.view.TableRevision()
--- a/pkg/controller/sessions.go
+++ b/pkg/controller/sessions.go
@@ -197,8 +197,9 @@
 
 func (s *Server) report() {
 	type target struct {
-		peer  *peer
-		query ReportQuery
+		peer   *peer
+		query  ReportQuery
+		sentAt time.Duration
 	}
 	targets := make(chan target, 1)
 	err := s.enqueue(func() {
@@ -212,7 +213,7 @@
 			if s.config.RosterStore != nil {
 				query.Roster = s.config.RosterStore.Stamp()
 			}
-			targets <- target{peer: p, query: query}
+			targets <- target{peer: p, query: query, sentAt: now}
 			return
 		}
 		targets <- target{}
@@ -235,7 +236,7 @@
 		}
 		if s.config.RosterStore != nil {
 			s.config.RosterStore.Apply(reply.Roster)
-			s.config.RosterStore.Confirm(reply.Reading)
+			s.config.RosterStore.Confirm(reply.Reading, t.sentAt)
 		}
 	case <-s.stop:
 	}
--- a/pkg/controller/sessions_test.go
+++ b/pkg/controller/sessions_test.go
@@ -22,7 +22,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			if c.read {
-				c.rosterStore.Publish(1, []lister.RosterLeaf{{ID: "a"}})
+				c.rosterStore.Publish(1, []lister.RosterLeaf{{ID: "a"}}, time.Second)
 			}
 			server := &Server{config: ServerConfig{RosterStore: c.rosterStore}}
 			if got := server.nextReportInterval(); got != c.want {
--- a/pkg/gatekeeper/draining_test.go
+++ b/pkg/gatekeeper/draining_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"lovagedeck/pkg/lister"
 	"lovagedeck/pkg/placer"
 	"lovagedeck/pkg/router"
 )
@@ -76,3 +77,33 @@
 		})
 	}
 }
+
+// An instance that had fetched the list itself took over an older one of a control instance, on which a leaf did not leave yet, and sent
+// requests to it.
+func TestListReadEarlierIsIgnored(t *testing.T) {
+	const own, earlier, later = 20 * time.Second, 15 * time.Second, 25 * time.Second
+	tier := newTier(t, "s")
+	f := tier.gate.fleet
+	listed := func(sequence uint64, readAt time.Duration, isLeaving bool) lister.Roster {
+		leaf := lister.RosterLeaf{ID: "leaf-1", Service: "s", DataCentre: "a", Address: "127.0.0.1:1", Slots: 2, Leaving: isLeaving}
+		return lister.Roster{Stamp: lister.RosterStamp{Sequence: sequence}, Leafs: []lister.RosterLeaf{leaf}, ReadAt: readAt}
+	}
+	isDraining := func() bool { return f.leafs["leaf-1"].leaf.IsDraining() }
+	tier.gate.SetRoster(listed(1, earlier-time.Second, false))
+	tier.gate.SetRoster(listed(0, own, true))
+	tier.gate.SetRoster(listed(2, earlier, false))
+	if !isDraining() {
+		t.Error("a list that was read earlier replaced the one in use")
+	}
+	stamp := lister.RosterStamp{Sequence: 2}
+	if !tier.gate.ConfirmRoster(stamp, earlier) {
+		t.Error("a list that was read earlier is asked for again")
+	}
+	if tier.gate.ConfirmRoster(stamp, later) {
+		t.Error("a list that was read again, later than the one in use, is not asked for")
+	}
+	tier.gate.SetRoster(listed(2, later, false))
+	if isDraining() || !tier.gate.ConfirmRoster(stamp, later+time.Second) {
+		t.Error("the list that was read later is not in use")
+	}
+}
--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -54,6 +54,8 @@
 		holdsLease func() bool
 		leafs      map[string]*upstream
 		latencies  map[string]*latencyStats
+		// rosterStamp is the stamp of the list of leafs in use, zero if this instance has fetched it itself.
+		rosterStamp lister.RosterStamp
 		// hasServiceEnded is set at the end of service of a planned stop.
 		hasServiceEnded bool
 		table           *router.Table
@@ -94,7 +96,7 @@
 		mayBeStale func() bool
 	}
 
-	// learnedAt holds the times of the newest routing table, list of leafs and view. readAt is when the list was read.
+	// learnedAt holds the times of the newest routing table, list of leafs and view. readAt is when the list was last read.
 	learnedAt struct {
 		table, roster, view time.Duration
 		readAt              time.Duration
@@ -181,10 +183,15 @@
 	f.requestPrewarm()
 }
 
-// setRoster replaces the list of leafs and closes the pools of leafs that were removed or have a new address.
-func (f *fleet) setRoster(roster lister.Roster) {
+// setRoster replaces the list of leafs and closes the pools of leafs that were removed or have a new address. It ignores a list that was
+// read before the one in use, and reports whether it took it over.
+func (f *fleet) setRoster(roster lister.Roster) bool {
 	f.mu.Lock()
 	now := f.now()
+	if len(f.leafs) > 0 && roster.ReadAt < f.learnedAt.readAt {
+		f.mu.Unlock()
+		return false
+	}
 	leafs := make(map[string]*upstream, len(roster.Leafs))
 	services := map[string]*service{}
 	var replaced []*exchanger.Pool
@@ -202,7 +209,7 @@
 		}
 	}
 	f.leafs, f.services = leafs, services
-	f.learnedAt.roster, f.learnedAt.readAt = now, now-roster.Age
+	f.rosterStamp, f.learnedAt.roster, f.learnedAt.readAt = roster.Stamp, now, roster.ReadAt
 	f.setVersions(roster.Stamp == lister.RosterStamp{})
 	f.allocate()
 	f.requestPrewarm()
@@ -210,6 +217,22 @@
 	for _, pool := range replaced {
 		pool.Close()
 	}
+	return true
+}
+
+// confirmRoster records that the list with the given stamp was read at readAt, and reports whether the list in use is that one or was read
+// later.
+func (f *fleet) confirmRoster(stamp lister.RosterStamp, readAt time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if readAt <= f.learnedAt.readAt {
+		return true
+	}
+	if stamp != f.rosterStamp {
+		return false
+	}
+	f.learnedAt.readAt = readAt
+	return true
 }
 
 // upstreamFor returns the upstream of a roster entry: the existing one if the leaf has kept its address, or else a new
--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -220,15 +220,25 @@
 	g.signalInitialized()
 }
 
-// SetRoster applies a new list of leafs.
+// SetRoster applies a list of leafs, unless it was read before the one in use.
 func (g *Gatekeeper) SetRoster(roster lister.Roster) {
-	g.fleet.setRoster(roster)
+	if !g.fleet.setRoster(roster) {
+		g.config.Log.Info("gatekeeper: list of leafs ignored, since it was read before the one in use", "leafs", len(roster.Leafs),
+			"term", roster.Stamp.Term, "sequence", roster.Stamp.Sequence, "age-ms", (g.config.Now() - roster.ReadAt).Milliseconds())
+		return
+	}
 	g.hasRoster.Store(true)
 	g.signalInitialized()
 	g.config.Log.Info("gatekeeper: list of leafs taken", "leafs", len(roster.Leafs), "term", roster.Stamp.Term,
 		"sequence", roster.Stamp.Sequence, "age-ms", roster.Age.Milliseconds())
 }
 
+// ConfirmRoster records that the list of leafs with the given stamp was read again at readAt. It reports whether the list in use is that
+// one or was read later.
+func (g *Gatekeeper) ConfirmRoster(stamp lister.RosterStamp, readAt time.Duration) (isInUse bool) {
+	return g.fleet.confirmRoster(stamp, readAt)
+}
+
 // RecentRequests returns the number of requests that this instance received within the retry budget window.
 func (g *Gatekeeper) RecentRequests() int { return g.fleet.recentRequests() }
 
--- a/pkg/lister/roster.go
+++ b/pkg/lister/roster.go
@@ -60,6 +60,9 @@
 		Since   uint64
 		Leafs   []RosterLeaf
 		Removed []string
+		// ReadAt is when the list was last read with this content, as far as known, on the clock of the instance that holds the roster.
+		// It is not sent to other instances, which get a Reading.
+		ReadAt time.Duration
 	}
 
 	// Reading identifies the roster that an instance holds; Age is the time since the list was last read with that content.
@@ -147,8 +150,9 @@
 	return l.Address > other.Address
 }
 
-// Publish stores a list that this instance read as leader of the given term, and reports whether the roster got a new stamp.
-func (s *RosterStore) Publish(term uint64, leafs []RosterLeaf) bool {
+// Publish stores a list that this instance began to read at readAt, as leader of the given term, and reports whether the roster got a
+// new stamp.
+func (s *RosterStore) Publish(term uint64, leafs []RosterLeaf, readAt time.Duration) bool {
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -162,7 +166,7 @@
 	}
 	removedBefore := len(s.removed)
 	changed := s.replace(UniqueLeafs(leafs), stamp.Sequence, now) || len(s.removed) > removedBefore
-	s.readAt = now
+	s.readAt = readAt
 	if !changed && term == s.stamp.Term {
 		return false
 	}
@@ -216,12 +220,13 @@
 	return Reading{Stamp: s.stamp, Age: s.now() - s.readAt}
 }
 
-// Confirm updates the time of the last reading if another instance has read the same roster more recently.
-func (s *RosterStore) Confirm(reading Reading) {
+// Confirm updates the time of the last reading if another instance, which was asked at askedAt, has read the same roster more recently.
+// The reply may have waited here while this process was paused, so that the age counts from the question.
+func (s *RosterStore) Confirm(reading Reading, askedAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if reading.Stamp == s.stamp && s.stamp != (RosterStamp{}) {
-		s.readAt = max(s.readAt, s.now()-reading.Age)
+		s.readAt = max(s.readAt, askedAt-reading.Age)
 	}
 }
 
@@ -251,7 +256,9 @@
 func (s *RosterStore) FullRoster() Roster {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return *s.rosterSince(0)
+	roster := *s.rosterSince(0)
+	roster.ReadAt = s.readAt
+	return roster
 }
 
 func (s *RosterStore) rosterSince(since uint64) *Roster {
--- a/pkg/steward/control.go
+++ b/pkg/steward/control.go
@@ -332,6 +332,7 @@
 // refreshRoster fetches the list of leafs, publishes it for the given term and returns the number of calls that this took. It logs
 // only the first of several failures in a row, and skipped entries only if their number or the first of them has changed.
 func (c *Control) refreshRoster(term uint64, list ListFunc) int {
+	startedAt := c.now()
 	listing, err := list("")
 	if err != nil {
 		if !c.isListFailing {
@@ -348,7 +349,7 @@
 		c.skippedEntries = listing.Skipped
 		c.log.Info("steward: invalid entries of the list skipped", "count", listing.Skipped.Count, "first", listing.Skipped.First)
 	}
-	if c.rosterStore.Publish(term, c.candidates.mark(c.server, listing.Leafs)) {
+	if c.rosterStore.Publish(term, c.candidates.mark(c.server, listing.Leafs), startedAt) {
 		c.log.Info("steward: list of leafs changed", "leafs", len(listing.Leafs), "term", term)
 	}
 	return listing.Calls
--- a/pkg/steward/entry.go
+++ b/pkg/steward/entry.go
@@ -117,7 +117,7 @@
 		},
 		Addresses: settings.seedAddresses(), Linker: linker.New(secret), Now: e.now,
 		Random: rand.New(rand.NewPCG(seed, 2)), Timeline: timeliner.New(settings.Instance, time.Now),
-		OnView: e.setView, OnRoster: e.gatekeeper.SetRoster, OnLeaseChange: e.onLeaseChange,
+		OnView: e.setView, OnRoster: e.gatekeeper.SetRoster, OnRosterRead: e.gatekeeper.ConfirmRoster, OnLeaseChange: e.onLeaseChange,
 		CollectEvidence: e.gatekeeper.RolloutEvidence, CountRequests: e.gatekeeper.RecentRequests, OnTotalRequests: e.gatekeeper.SetTotalRequests,
 	})
 	callerListener, err := listen(settings.CallerAddress, log)
@@ -283,7 +283,7 @@
 		listedAt = now
 		e.log.Info("steward: this instance fetched the list of leafs", "leafs", len(listing.Leafs), "handed-on-age-ms", (now - rosterReadAt).Milliseconds(),
 			"skipped", listing.Skipped.Count, "first-skipped", listing.Skipped.First)
-		e.gatekeeper.SetRoster(lister.Roster{Leafs: listing.Leafs})
+		e.gatekeeper.SetRoster(lister.Roster{Leafs: listing.Leafs, ReadAt: listedAt})
 	}
 }
 
