Let leafs that have started again get requests

Where one of two leafs was concerned, all was served, but that leaf ran nothing any more.

Cause: a leaf that states that it is leaving gets no requests after DrainingGrace. Only a response without the statement ended that, which never came, or a list on which the leaf changed from draining to ready. If the leaf started again under its identifier while the list could not be read, or before the list had shown that it was leaving, no list had that change.

Change: the time of the last statement is kept. A list that was read at least maxListLag later and has the leaf as ready ends the statement, also one that was only read again without a change. A leaf that still leaves is listed as draining by then.

Evidence: TestRestartedLeafGetsRequestsAgain, a cluster with a leaf that leaves and restarts, failed before in two of its three cases ("got 0 of 48 requests served 5s after the leaf started again and 3s after the list was back, want all"). TestLeavingLeafGetsNothingUntilItRestarts holds before and after: a leaf that leaves gets nothing while the list lags or is out of reach. TestListEndsStatementsOfFormerProcess covers the decision.

--- a/pkg/exchanger/pool.go
+++ b/pkg/exchanger/pool.go
@@ -202,6 +202,13 @@
 	go p.failWaiting(ErrResting)
 }
 
+// EndRest lets the pool send requests again. The upstream that asked for rest has started again since.
+func (p *Pool) EndRest() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.restUntil = time.Time{}
+}
+
 // SetSuspended sets whether the upstream must get no new requests. Those that wait for a connection or a permit then fail.
 func (p *Pool) SetSuspended(isSuspended bool) {
 	p.mu.Lock()
--- a/pkg/gatekeeper/fleet.go
+++ b/pkg/gatekeeper/fleet.go
@@ -196,7 +196,7 @@
 	services := map[string]*service{}
 	var replaced []*exchanger.Pool
 	for _, entry := range lister.UniqueLeafs(roster.Leafs) {
-		u := f.upstreamFor(entry, now-roster.Age, now)
+		u := f.upstreamFor(entry, roster, now)
 		if previous := f.leafs[entry.ID]; previous != nil && previous != u {
 			replaced = append(replaced, previous.pool)
 		}
@@ -232,23 +232,26 @@
 		return false
 	}
 	f.learnedAt.readAt = readAt
+	f.endRefutedBeliefs(readAt)
 	return true
 }
 
-// upstreamFor returns the upstream of a roster entry: the existing one if the leaf has kept its address, or else a new
+// upstreamFor returns the upstream of an entry of the roster: the existing one if the leaf has kept its address, or else a new
 // one.
-func (f *fleet) upstreamFor(entry lister.RosterLeaf, readAt, now time.Duration) *upstream {
+func (f *fleet) upstreamFor(entry lister.RosterLeaf, roster lister.Roster, now time.Duration) *upstream {
 	fields := placer.Fields{
 		ID: entry.ID, Service: entry.Service, DataCentre: entry.DataCentre, Address: entry.Address,
 		Slots: entry.Slots, IsDraining: entry.Leaving, Version: entry.Version, IsCandidate: entry.IsCandidate, ListedAt: now,
 	}
-	warmUpUntil := readAt + entry.ColdFor
+	warmUpUntil := now - roster.Age + entry.ColdFor
 	if u := f.leafs[entry.ID]; u != nil && u.pool.Address() == entry.Address {
 		if entry.Leaving && !u.leaf.Fields().IsDraining {
 			f.onDraining(u)
 		}
 		fields.ListedAt = u.leaf.Fields().ListedAt
-		u.leaf.Update(fields, warmUpUntil, now)
+		if u.leaf.Update(fields, warmUpUntil, roster.ReadAt, now) {
+			f.onRestarted(u, roster.ReadAt, now)
+		}
 		return u
 	}
 	u := &upstream{leaf: placer.New(fields, warmUpUntil, now), pool: exchanger.New(f.config, entry.Address, entry.ID, 1)}
--- a/pkg/gatekeeper/fleet_statements.go
+++ b/pkg/gatekeeper/fleet_statements.go
@@ -71,6 +71,29 @@
 		"listed", fields.IsDraining, "request", statement.RequestID)
 }
 
+// endRefutedBeliefs ends what former processes of leafs stated, where the list as read at readAt speaks against it.
+func (f *fleet) endRefutedBeliefs(readAt time.Duration) {
+	now, hasChanged := f.now(), false
+	for _, u := range f.leafs {
+		if u.leaf.OnListed(readAt) {
+			f.onRestarted(u, readAt, now)
+			hasChanged = true
+		}
+	}
+	if hasChanged {
+		f.allocate()
+		f.requestPrewarm()
+	}
+}
+
+// onRestarted lets requests go to a leaf that has started again.
+func (f *fleet) onRestarted(u *upstream, readAt, now time.Duration) {
+	u.pool.EndRest()
+	fields := u.leaf.Fields()
+	f.log.Info("gatekeeper: leaf has started again", "leaf", fields.ID, "service", fields.Service, "data-centre", fields.DataCentre,
+		"listed", fields.IsDraining, "leaving", u.leaf.IsDraining(), "list-age-ms", (now - readAt).Milliseconds())
+}
+
 // logProblem logs the first invalid statement of each leaf and kind.
 func (f *fleet) logProblem(u *upstream, hasProblem *bool, message, problem, requestID string) {
 	if problem == "" || *hasProblem {
--- a/pkg/placer/choice_test.go
+++ b/pkg/placer/choice_test.go
@@ -62,15 +62,15 @@
 	}
 	stalled := func(l *Leaf) { l.OnSend(1, typicalLatency, now-time.Second) }
 	draining := func(l *Leaf) {
-		l.Update(Fields{ID: l.fields.Load().ID, DataCentre: "a", Slots: 2, IsDraining: true}, 0, now)
+		l.Update(Fields{ID: l.fields.Load().ID, DataCentre: "a", Slots: 2, IsDraining: true}, 0, now, now)
 	}
 	foundDraining := func(l *Leaf) {
 		*l = *New(Fields{ID: l.fields.Load().ID, DataCentre: "a", Slots: 2, IsDraining: true}, 0, now)
 	}
 	drainingPastGrace := func(l *Leaf) {
-		l.Update(Fields{ID: l.fields.Load().ID, DataCentre: "a", Slots: 2, IsDraining: true}, 0, now-DrainingGrace-time.Millisecond)
+		l.Update(Fields{ID: l.fields.Load().ID, DataCentre: "a", Slots: 2, IsDraining: true}, 0, now-DrainingGrace-time.Millisecond, now-DrainingGrace-time.Millisecond)
 	}
-	outOfService := func(l *Leaf) { l.Update(Fields{ID: l.fields.Load().ID, DataCentre: "out", Slots: 2}, 0, now) }
+	outOfService := func(l *Leaf) { l.Update(Fields{ID: l.fields.Load().ID, DataCentre: "out", Slots: 2}, 0, now, now) }
 	cases := []struct {
 		name        string
 		first       func(l *Leaf)
--- a/pkg/placer/leaf.go
+++ b/pkg/placer/leaf.go
@@ -130,8 +130,9 @@
 		rateLimit        limiter.Limit
 		noPermitUntil    time.Duration
 		restUntil        time.Duration
-		// statesLeaving is set while the responses of the leaf state that it is leaving.
-		statesLeaving bool
+		// statesLeaving is set while the responses of the leaf state that it is leaving, last at leavingStatedAt.
+		statesLeaving   bool
+		leavingStatedAt time.Duration
 	}
 )
 
@@ -193,17 +194,20 @@
 // Fields returns the attributes of the leaf as last given in the list of leafs. It may be called without the lock.
 func (l *Leaf) Fields() Fields { return *l.fields.Load() }
 
-// Update sets the attributes and the end of the warm-up from a newer list of leafs.
-func (l *Leaf) Update(fields Fields, warmUpUntil, now time.Duration) {
-	switch {
-	case fields.IsDraining && !l.IsDraining():
+// Update sets the attributes and the end of the warm-up from a newer list of leafs, read at readAt, and reports whether they show that the
+// leaf has started again.
+func (l *Leaf) Update(fields Fields, warmUpUntil, readAt, now time.Duration) bool {
+	previous := l.fields.Load()
+	if fields.IsDraining && !l.IsDraining() {
 		l.drainingSince = now
-	case l.fields.Load().IsDraining && !fields.IsDraining:
-		// A leaf that was listed as leaving has started again.
-		l.statesLeaving = false
 	}
 	l.fields.Store(&fields)
 	l.warmUpUntil = warmUpUntil
+	hasRestarted := previous.IsDraining && !fields.IsDraining || previous.Version != fields.Version || previous.Service != fields.Service
+	if hasRestarted {
+		l.forgetProcess(readAt)
+	}
+	return l.OnListed(readAt) || hasRestarted
 }
 
 // IsClosed reports whether the leaf must get no more requests, since it has been draining for DrainingGrace.
--- a/pkg/placer/rate_limit.go
+++ b/pkg/placer/rate_limit.go
@@ -53,6 +53,9 @@
 // OnLeavingStated records whether a response to a request sent at sentAt stated that the leaf is leaving, and reports whether that
 // changed. A response without the statement ends it only if its request was sent afterwards.
 func (l *Leaf) OnLeavingStated(isLeaving bool, sentAt, now time.Duration) bool {
+	if isLeaving {
+		l.leavingStatedAt = now
+	}
 	if isLeaving == l.statesLeaving || !isLeaving && sentAt <= l.drainingSince {
 		return false
 	}
--- /dev/null
+++ b/pkg/placer/restart.go
@@ -0,0 +1,34 @@
+// A leaf may start again under its identifier and at its address. What the
+// former process stated does not hold for the new one. Where it kept
+// requests away from the leaf, no response can show that, but the list of leafs
+// does.
+
+package placer
+
+import "time"
+
+// maxListLag is the time after which the list certainly shows that a leaf is leaving. The list of the platform is 0.8 s old.
+const maxListLag = 3 * time.Second
+
+// OnListed records that the list of leafs as read at readAt has the leaf with its present attributes. It reports whether that shows that
+// the process which stated that it is leaving is not the one that is listed.
+func (l *Leaf) OnListed(readAt time.Duration) bool {
+	if !l.statesLeaving || l.fields.Load().IsDraining || !l.isLeavingRefutedBy(readAt) {
+		return false
+	}
+	l.forgetProcess(readAt)
+	return true
+}
+
+// isLeavingRefutedBy reports whether a list read at readAt would show that the leaf is leaving if it still were.
+func (l *Leaf) isLeavingRefutedBy(readAt time.Duration) bool {
+	return readAt-l.leavingStatedAt >= maxListLag
+}
+
+// forgetProcess drops what was learned from the responses of the process that the leaf was. A rate limit stays: requests still go to the
+// leaf at that rate, and the response to one of them ends it at all instances.
+func (l *Leaf) forgetProcess(readAt time.Duration) {
+	l.ForgetObservations()
+	l.restUntil = 0
+	l.statesLeaving = l.statesLeaving && !l.isLeavingRefutedBy(readAt)
+}
