Let leafs that have got their address back get requests

Cause: the answer 421 marks a leaf as replaced.

Change: a list that was read replacedRetention (10 s) after the answer and still has the leaf at that address ends it. If it is wrong, one request gets 421 again, which no leaf runs, and the leaf is left out for as long again.

Evidence: TestListEndsReplacement fails without the change.

--- a/pkg/placer/leaf.go
+++ b/pkg/placer/leaf.go
@@ -113,6 +113,7 @@
 		lastAnswerAt    time.Duration
 		typicalLatency  time.Duration
 		isReplaced      bool
+		replacedAt      time.Duration
 		isOutsideSubset bool
 		limit           float64
 		lastSentAt      time.Duration
@@ -276,7 +277,7 @@
 		l.recordMinLatency(latency, typicalLatency, now)
 		l.decreaseLimit()
 	case Replaced:
-		l.isReplaced = true
+		l.isReplaced, l.replacedAt = true, now
 	}
 }
 
--- a/pkg/placer/restart.go
+++ b/pkg/placer/restart.go
@@ -1,5 +1,5 @@
 // A leaf may start again under its identifier and at its address. What the
-// former process stated does not hold for the new one. Where it kept
+// former process stated or showed does not hold for the new one. Where it kept
 // requests away from the leaf, no response can show that, but the list of leafs
 // does.
 
@@ -7,13 +7,19 @@
 
 import "time"
 
-// maxListLag is the time after which the list certainly shows that a leaf is leaving. The list of the platform is 0.8 s old.
-const maxListLag = 3 * time.Second
+const (
+	// maxListLag is the time after which the list certainly shows that a leaf is leaving. The list of the platform is 0.8 s old.
+	maxListLag = 3 * time.Second
+	// replacedRetention is the time after which the list has certainly dropped a leaf whose address another one uses.
+	replacedRetention = 10 * time.Second
+)
 
 // OnListed records that the list of leafs as read at readAt has the leaf with its present attributes. It reports whether that shows that
-// the process which stated that it is leaving is not the one that is listed.
+// the process which stated that it is leaving, or which lost its address, is not the one that is listed.
 func (l *Leaf) OnListed(readAt time.Duration) bool {
-	if !l.statesLeaving || l.fields.Load().IsDraining || !l.isLeavingRefutedBy(readAt) {
+	hasLeft := l.statesLeaving && !l.fields.Load().IsDraining && l.isLeavingRefutedBy(readAt)
+	isBack := l.isReplaced && readAt-l.replacedAt >= replacedRetention
+	if !hasLeft && !isBack {
 		return false
 	}
 	l.forgetProcess(readAt)
@@ -29,6 +35,6 @@
 // leaf at that rate, and the response to one of them ends it at all instances.
 func (l *Leaf) forgetProcess(readAt time.Duration) {
 	l.ForgetObservations()
-	l.restUntil = 0
+	l.isReplaced, l.restUntil = false, 0
 	l.statesLeaving = l.statesLeaving && !l.isLeavingRefutedBy(readAt)
 }
--- a/pkg/placer/restart_test.go
+++ b/pkg/placer/restart_test.go
@@ -46,3 +46,30 @@
 		})
 	}
 }
+
+// A leaf lost its address to another one for a while and got it back while the list could not be read: its identifier and address on the
+// list stayed the same, and it was left out for good.
+func TestListEndsReplacement(t *testing.T) {
+	const replaced = time.Minute
+	cases := []struct {
+		name   string
+		readAt time.Duration
+		want   bool
+	}{
+		{"the list may still have the leaf that is gone", replaced + replacedRetention - time.Millisecond, true},
+		{"the list would have dropped it", replaced + replacedRetention, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := New(Fields{ID: "1", Slots: 2}, 0, 0)
+			l.OnSend(1, time.Millisecond, replaced)
+			l.OnEnd(1, Replaced, time.Millisecond, time.Millisecond, replaced)
+			if got := l.OnListed(c.readAt); got == c.want {
+				t.Errorf("got %v, want %v", got, !c.want)
+			}
+			if got := l.IsReplaced(); got != c.want {
+				t.Errorf("got replaced %v, want %v", got, c.want)
+			}
+		})
+	}
+}
