Let the timeout of a call between instances cover the connecting

Cause: Peer.Call counted its timeout from the open connection on. A paused process accepts connections in its kernel and never answers the handshake, so that a renewal with a timeout of 600 ms took 3 s there, the time limit of the handshake, and the next control instance was asked only then. Callers that waited for the connection that another one opened had no timeout at all, and the second try of Call began with a new one. The same held for reports to a paused leader, announcements of a control instance that joins (which wait for all seeds), requests for permits and allowances, checks of gatherers and batches to the owner of a leaf.

Change: a connection is opened by a goroutine of its own, for which each caller waits as long as its timeout allows. It goes on when they have given up, so that the next ones find the connection. Client takes a timeout; Call has one deadline for the connection, the call and its second try.

Evidence: before, TestCallTimeoutCoversConnecting: "call 0 took 3.00244718s, want at most its timeout of 200ms", and the same for eight callers at once; TestConnectionOutlivesCallThatWaitedForIt failed too. TestCallTimeoutCoversSecondTry covers the second try.

--- a/pkg/aggregator/peers.go
+++ b/pkg/aggregator/peers.go
@@ -300,7 +300,7 @@
 // connection that failed, but not of one that could not be opened: the peer may not have started yet.
 func (p *Peers) check(name string, target *peer) {
 	var ready bool
-	_, connectErr := target.conn.Client()
+	_, connectErr := target.conn.Client(pingTimeout)
 	err := connectErr
 	if err == nil {
 		err = target.conn.Call(callPing, struct{}{}, &ready, pingTimeout)
--- a/pkg/linker/peer.go
+++ b/pkg/linker/peer.go
@@ -10,50 +10,86 @@
 
 const redialBackoff = 50 * time.Millisecond
 
-// Peer is a remote instance with one connection, which is opened on demand and reopened after a failure.
-type Peer struct {
-	linker  *Linker
-	address string
-	// dialSemaphore lets one goroutine dial at a time without holding mu while it dials.
-	dialSemaphore chan struct{}
-	mu            sync.Mutex
-	client        *rpc.Client
-	failedAt      time.Time
-	closed        bool
-}
+type (
+	// Peer is a remote instance with one connection, which is opened on demand and reopened after a failure.
+	Peer struct {
+		linker  *Linker
+		address string
+		mu      sync.Mutex
+		client  *rpc.Client
+		// connecting is the connection that is being opened, or nil.
+		connecting *connecting
+		failedAt   time.Time
+		closed     bool
+	}
+
+	// connecting is the opening of a connection, which all callers wait for, each for as long as it can.
+	connecting struct {
+		done   chan struct{}
+		client *rpc.Client
+		err    error
+	}
+)
 
 // NewPeer returns the peer at address without opening a connection.
-func (l *Linker) NewPeer(address string) *Peer {
-	return &Peer{linker: l, address: address, dialSemaphore: make(chan struct{}, 1)}
-}
+func (l *Linker) NewPeer(address string) *Peer { return &Peer{linker: l, address: address} }
 
 // Address returns the address of the peer.
 func (p *Peer) Address() string { return p.address }
 
-// Client returns the client of the open connection, or opens a connection. It returns an error after Close, if dialing fails,
-// and for redialBackoff after dialing has failed.
-func (p *Peer) Client() (*rpc.Client, error) {
-	if client, err := p.existingClient(); client != nil || err != nil {
+// Client returns the client of the open connection, or opens a connection and waits for it for at most timeout. A process that is paused
+// accepts connections and does not answer the handshake. Client returns an error after Close, if dialing fails, and for redialBackoff after
+// dialing has failed.
+func (p *Peer) Client(timeout time.Duration) (*rpc.Client, error) {
+	client, opening, err := p.clientOrConnecting()
+	if client != nil || err != nil {
 		return client, err
 	}
-	p.dialSemaphore <- struct{}{}
-	defer func() { <-p.dialSemaphore }()
-	if client, err := p.existingClient(); client != nil || err != nil {
-		return client, err
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-opening.done:
+		return opening.client, opening.err
+	case <-timer.C:
+		return nil, errors.Errorf("connect to instance %s: no connection within %s", p.address, timeout)
 	}
-	client, err := p.linker.Connect(p.address)
+}
+
+// clientOrConnecting returns the client of the open connection, or the connection that is being opened, or an error if none may be opened.
+func (p *Peer) clientOrConnecting() (*rpc.Client, *connecting, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err != nil {
-		p.failedAt = time.Now()
-		return nil, err
+	switch {
+	case p.closed:
+		return nil, nil, errors.Errorf("connect to instance %s: the line is closed", p.address)
+	case p.client != nil:
+		return p.client, nil, nil
+	case p.connecting != nil:
+		return nil, p.connecting, nil
+	case time.Since(p.failedAt) < redialBackoff:
+		return nil, nil, errors.Errorf("connect to instance %s: waiting before the next try", p.address)
 	}
-	if p.closed {
-		_ = client.Close()
-		return nil, errors.Errorf("connect to instance %s: the line is closed", p.address)
+	p.connecting = &connecting{done: make(chan struct{})}
+	go p.connect(p.connecting)
+	return nil, p.connecting, nil
+}
+
+// connect opens a connection. It goes on after all callers have given up, so that the next ones find the connection.
+func (p *Peer) connect(opening *connecting) {
+	opening.client, opening.err = p.linker.Connect(p.address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(opening.done)
+	p.connecting = nil
+	switch {
+	case opening.err != nil:
+		p.failedAt = time.Now()
+	case p.closed:
+		_ = opening.client.Close()
+		opening.client, opening.err = nil, errors.Errorf("connect to instance %s: the line is closed", p.address)
+	default:
+		p.client = opening.client
 	}
-	p.client = client
-	return client, nil
 }
 
 // CurrentClient returns the client of the open connection without blocking, or nil if none is open.
@@ -63,23 +99,25 @@
 	return p.client
 }
 
-// Call makes a call and waits for it for at most timeout. If the connection turns out to be closed, the call was not sent
-// and is made once more on a new connection. A call that may have been sent is not repeated.
+// Call makes a call and waits for it for at most timeout, which covers the opening of a connection. If the connection turns out to be
+// closed, the call was not sent and is made once more on a new connection within the same time. A call that may have been sent is not
+// repeated.
 func (p *Peer) Call(method string, query, reply any, timeout time.Duration) error {
-	err := p.call(method, query, reply, timeout)
+	deadline := time.Now().Add(timeout)
+	err := p.call(method, query, reply, deadline)
 	if errors.Is(err, rpc.ErrShutdown) {
-		return p.call(method, query, reply, timeout)
+		return p.call(method, query, reply, deadline)
 	}
 	return err
 }
 
-func (p *Peer) call(method string, query, reply any, timeout time.Duration) error {
-	client, err := p.Client()
+func (p *Peer) call(method string, query, reply any, deadline time.Time) error {
+	client, err := p.Client(time.Until(deadline))
 	if err != nil {
 		return err
 	}
 	call := client.Go(method, query, reply, make(chan *rpc.Call, 1))
-	return p.AwaitOrDrop(client, call, timeout)
+	return p.AwaitOrDrop(client, call, time.Until(deadline))
 }
 
 // AwaitOrDrop waits for a call to complete. If it does not complete within timeout, it closes the connection and returns an
@@ -131,16 +169,3 @@
 		_ = client.Close()
 	}
 }
-
-// existingClient returns the client of the open connection, nil if a connection may be opened, or an error if none may be.
-func (p *Peer) existingClient() (*rpc.Client, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		return nil, errors.Errorf("connect to instance %s: the line is closed", p.address)
-	}
-	if p.client == nil && time.Since(p.failedAt) < redialBackoff {
-		return nil, errors.Errorf("connect to instance %s: waiting before the next try", p.address)
-	}
-	return p.client, nil
-}
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -22,11 +22,13 @@
 	maxConcurrentCalls = 4
 	maxBatchItems      = 256
 	callTimeout        = time.Second
-	minAckTimeout      = 20 * time.Millisecond
-	maxAckTimeout      = 100 * time.Millisecond
-	ackTimeoutFactor   = 5
-	ackTimeWeight      = 0.1
-	probeDelay         = 60 * time.Millisecond
+	// connectTimeout covers three round trips of 40 ms between regions and a short stall of the processor at the peer.
+	connectTimeout   = 300 * time.Millisecond
+	minAckTimeout    = 20 * time.Millisecond
+	maxAckTimeout    = 100 * time.Millisecond
+	ackTimeoutFactor = 5
+	ackTimeWeight    = 0.1
+	probeDelay       = 60 * time.Millisecond
 )
 
 type (
@@ -155,7 +157,7 @@
 // send sends one batch. The peer only queues a batch before it returns from the call. If it does not return within the
 // ack timeout it counts as unresponsive, and the requests are reported so that they can be sent to another instance.
 func (l *Link) send(batch Batch) {
-	client, err := l.conn.Client()
+	client, err := l.conn.Client(connectTimeout)
 	if err != nil {
 		l.markUnresponsive()
 		l.reportUndelivered(batch.Asks, false, ReasonOwnerUnreachable)
--- a/pkg/petitioner/petitioner.go
+++ b/pkg/petitioner/petitioner.go
@@ -25,6 +25,8 @@
 	MaxDemands = 4096
 	// unreachablePeriod is how long an instance is not called after a failed call.
 	unreachablePeriod = time.Second
+	// connectTimeout bounds the wait for a connection that is opened in advance.
+	connectTimeout = time.Second
 	// maxSubjects bounds the subjects whose responsible instances are retained.
 	maxSubjects = 1024
 )
@@ -192,7 +194,7 @@
 	for _, subject := range subjects {
 		if target, _, isFound := p.targetFor(subject, now); isFound && target != nil && target.conn.CurrentClient() == nil {
 			go func() {
-				if _, err := target.conn.Client(); err != nil {
+				if _, err := target.conn.Client(connectTimeout); err != nil {
 					p.config.Log.Info(p.config.Name+": not connected", "peer", target.name, "cause", err.Error())
 				}
 			}()
