Let the timeout of a call between instances cover its sending

Cause: net/rpc sends a call in the goroutine of the caller and lets one caller at a time send. The timeout began after that.

Change: Peer.Go closes the connection if the sending lasts longer than the timeout. The call then fails, and those behind it, which were not sent, are made again within their own time.

Evidence: TestCallTimeoutCoversSending did not end within 51 s before the change ("panic: test timed out"), and takes 0.2 s now.

--- a/pkg/linker/frozen_test.go
+++ b/pkg/linker/frozen_test.go
@@ -103,6 +103,29 @@
 	}
 }
 
+// The peer pauses after the handshake and does not read, so that the sending of a large call blocks. The calls behind it time out as well.
+func TestCallTimeoutCoversSending(t *testing.T) {
+	listener := frozenListener(t)
+	l := New(NewSecret("c", nil))
+	acceptOne(t, l, listener)
+	peer := l.NewPeer(listener.Addr().String())
+	defer peer.Close()
+	if _, err := peer.Client(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	var group sync.WaitGroup
+	for range 4 {
+		group.Go(func() {
+			startedAt := time.Now()
+			if err := peer.Call("Echo.Size", make([]byte, 16<<20), new(int), callTimeout); err == nil {
+				t.Error("a call to a paused instance succeeded")
+			}
+			checkDuration(t, "a call whose sending blocks", startedAt)
+		})
+	}
+	group.Wait()
+}
+
 // A call whose connection turns out to be closed is made again within the same time, also if the instance is paused by then.
 func TestCallTimeoutCoversSecondTry(t *testing.T) {
 	listener := frozenListener(t)
--- a/pkg/linker/peer.go
+++ b/pkg/linker/peer.go
@@ -116,10 +116,17 @@
 	if err != nil {
 		return err
 	}
-	call := client.Go(method, query, reply, make(chan *rpc.Call, 1))
+	call := p.Go(client, method, query, reply, time.Until(deadline))
 	return p.AwaitOrDrop(client, call, time.Until(deadline))
 }
 
+// Go starts a call. Sending it blocks while the peer does not read from the connection, which is closed if that lasts longer than timeout.
+func (p *Peer) Go(client *rpc.Client, method string, query, reply any, timeout time.Duration) *rpc.Call {
+	timer := time.AfterFunc(timeout, func() { p.Drop(client) })
+	defer timer.Stop()
+	return client.Go(method, query, reply, make(chan *rpc.Call, 1))
+}
+
 // AwaitOrDrop waits for a call to complete. If it does not complete within timeout, it closes the connection and returns an
 // error.
 func (p *Peer) AwaitOrDrop(client *rpc.Client, call *rpc.Call, timeout time.Duration) error {
--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -164,7 +164,7 @@
 		return
 	}
 	start := time.Now()
-	call := client.Go("Fellow.Exchange", batch, &struct{}{}, make(chan *rpc.Call, 1))
+	call := l.conn.Go(client, "Fellow.Exchange", batch, &struct{}{}, callTimeout)
 	isInTime, err := l.conn.AwaitFor(client, call, l.ackTimeout())
 	if !isInTime {
 		l.markUnresponsive()
