Pass over control instances that did not answer a renewal

While the control instances that answered elected a leader and refused, an entry instance went round and came back to the paused ones each time, 0.6 s each, and learned of the election late.

Cause: renewals ask one control instance after the other and kept nothing of the ones that had not answered.

Change: one that has used up the timeout of a renewal is passed over for 3 s, unless all are. One at a time stays right for renewals: each is registered with the control instance that grants its lease, so that a second one in flight would move the registration through the log.

--- a/pkg/controller/client.go
+++ b/pkg/controller/client.go
@@ -224,7 +224,7 @@
 		}
 		if err != nil {
 			interval = retryInterval
-			c.peers.advance()
+			c.peers.advance(c.config.Now())
 		}
 		c.reportLeaseChange()
 		select {
@@ -258,6 +258,9 @@
 	sentAt := c.config.Now()
 	var reply RenewReply
 	if err := p.call("Renew", query, &reply, renewalTimeout); err != nil {
+		if now := c.config.Now(); now-sentAt >= renewalTimeout {
+			c.peers.leaveOut(p, now)
+		}
 		return err
 	}
 	c.config.Timeline.Observe(reply.Stamp)
--- a/pkg/controller/peer_list.go
+++ b/pkg/controller/peer_list.go
@@ -4,16 +4,23 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"lovagedeck/pkg/linker"
 )
 
+// leftOutPeriod is how long a control instance that did not answer is passed over while others are known. It is longer than an election,
+// in which those that answer refuse.
+const leftOutPeriod = 3 * time.Second
+
 // peerList holds the control instances known to a client and the index of the one in use.
 type peerList struct {
 	linker       *linker.Linker
 	mu           sync.Mutex
 	peers        []*peer
 	currentIndex int
+	// leftOutUntil is when each control instance that did not answer may be used again.
+	leftOutUntil map[*peer]time.Duration
 }
 
 func (l *peerList) current() (*peer, bool) {
@@ -25,12 +32,31 @@
 	return l.peers[l.currentIndex], true
 }
 
-func (l *peerList) advance() {
+// leaveOut makes advance pass over a peer for leftOutPeriod.
+func (l *peerList) leaveOut(p *peer, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.peers) > 0 {
-		l.currentIndex = (l.currentIndex + 1) % len(l.peers)
+	if l.leftOutUntil == nil {
+		l.leftOutUntil = map[*peer]time.Duration{}
+	}
+	l.leftOutUntil[p] = now + leftOutPeriod
+}
+
+// advance selects the next peer that is not left out, or the next one if all are.
+func (l *peerList) advance(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.peers) == 0 {
+		return
+	}
+	next := func(steps int) int { return (l.currentIndex + steps) % len(l.peers) }
+	for steps := 1; steps <= len(l.peers); steps++ {
+		if now >= l.leftOutUntil[l.peers[next(steps)]] {
+			l.currentIndex = next(steps)
+			return
+		}
 	}
+	l.currentIndex = next(1)
 }
 
 // all returns the peers in order, starting with the current one.
@@ -72,6 +98,7 @@
 			continue
 		}
 		p.close()
+		delete(l.leftOutUntil, p)
 	}
 	l.peers = kept
 	l.currentIndex = max(0, slices.Index(kept, current))
