Ask the next control instance after 0.5 s without an answer

Operators saw (by test): with two of five control instances paused, a change, its outcome, the history and the instances that act on a change took 6 s at an entry instance of `lovagedeckd run`, as long as its clients wait at most.

Cause: calls of operators ask the control instances one after the other, with 3 s for each.

Change: the next one is asked as well after 0.5 s without an answer, and at once after a failure; the first reply counts. A change that reaches two takes effect once, by its change ID, as it did when it was sent again before. Changes of control members have no such ID and are still made one at a time.

Evidence: TestPausedControlInstancesDelayNobodyForLong, without the change: "a change took 6s, want at most 1.5s", and the same for the three others.

--- a/pkg/controller/client.go
+++ b/pkg/controller/client.go
@@ -111,78 +111,72 @@
 	return c.view
 }
 
-// Propose submits a command to the control instances in turn until one answers without a refusal. The reply and the error
-// are those of the last attempt.
+// Propose submits a command to the control instances, as askAny does, until one answers without a refusal. A command that reaches two of
+// them takes effect once, by its change ID.
 func (c *Client) Propose(command tabulator.Command) (ProposeReply, error) {
 	data, err := tabulator.Encode(command)
 	if err != nil {
 		return ProposeReply{}, err
 	}
-	var reply ProposeReply
-	err = c.callAny(func(p *peer) error {
-		reply = ProposeReply{}
+	return askAny(c, func(p *peer) (ProposeReply, error) {
+		var reply ProposeReply
 		if err := p.call("Propose", ProposeQuery{Command: data}, &reply, operatorCallTimeout); err != nil {
-			reply.Unknown = true
-			return err
+			// The reply to a call that timed out may still be written.
+			return ProposeReply{Unknown: true}, err
 		}
 		if reply.Refused != "" {
-			return errors.New(reply.Refused)
+			return reply, errors.New(reply.Refused)
 		}
-		return nil
+		return reply, nil
 	})
-	return reply, err
 }
 
 // Lookup returns the recorded outcome of a change, or an error if no majority confirmed that the read is fresh.
 func (c *Client) Lookup(changeID string) (LookupReply, error) {
-	var reply LookupReply
-	err := c.callAny(func(p *peer) error {
-		reply = LookupReply{}
+	return askAny(c, func(p *peer) (LookupReply, error) {
+		var reply LookupReply
 		if err := p.call("Lookup", LookupQuery{ChangeID: changeID}, &reply, operatorCallTimeout); err != nil {
-			return err
+			return LookupReply{}, err
 		}
-		return checkFresh(reply.Fresh)
+		return reply, checkFresh(reply.Fresh)
 	})
-	return reply, err
 }
 
 // History returns the operator changes, oldest first, or an error if no majority confirmed that the read is fresh.
 func (c *Client) History() (HistoryReply, error) {
-	var reply HistoryReply
-	err := c.callAny(func(p *peer) error {
-		reply = HistoryReply{}
+	return askAny(c, func(p *peer) (HistoryReply, error) {
+		var reply HistoryReply
 		if err := p.call("History", HistoryQuery{}, &reply, operatorCallTimeout); err != nil {
-			return err
+			return HistoryReply{}, err
 		}
-		return checkFresh(reply.Fresh)
+		return reply, checkFresh(reply.Fresh)
 	})
-	return reply, err
 }
 
 // InForce returns how many entry instances act on a view of at least the given revision.
 func (c *Client) InForce(revision uint64) (InForceReply, error) {
-	var reply InForceReply
-	err := c.callAny(func(p *peer) error {
-		reply = InForceReply{}
+	return askAny(c, func(p *peer) (InForceReply, error) {
+		var reply InForceReply
 		if err := p.call("InForce", InForceQuery{Revision: revision}, &reply, operatorCallTimeout); err != nil {
-			return err
+			return InForceReply{}, err
 		}
 		if reply.Refused != "" {
-			return errors.New(reply.Refused)
+			return reply, errors.New(reply.Refused)
 		}
-		return nil
+		return reply, nil
 	})
-	return reply, err
 }
 
 // Configure adds, promotes or removes one control node.
 func (c *Client) Configure(action ConfigAction, node replicator.NodeID) (ConfigReply, error) {
-	var reply ConfigReply
-	err := c.callAny(func(p *peer) error {
-		reply = ConfigReply{}
-		return p.call("Configure", ConfigQuery{Action: action, Node: node}, &reply, operatorCallTimeout)
-	})
-	return reply, err
+	err := errNoControlInstance
+	for _, p := range c.peers.all() {
+		var reply ConfigReply
+		if err = p.call("Configure", ConfigQuery{Action: action, Node: node}, &reply, operatorCallTimeout); err == nil {
+			return reply, nil
+		}
+	}
+	return ConfigReply{}, err
 }
 
 // Statuses returns the status of each control instance that answers, keyed by address.
@@ -349,17 +343,6 @@
 	c.config.Timeline.Add("lease-lost", c.config.Member.Instance, "not ready: no majority confirmed a renewal")
 }
 
-// callAny tries the control instances in turn, the current one first, until a call succeeds, and returns the last error.
-func (c *Client) callAny(call func(p *peer) error) error {
-	err := errors.New("no control instance is known")
-	for _, p := range c.peers.all() {
-		if err = call(p); err == nil {
-			return nil
-		}
-	}
-	return err
-}
-
 func checkFresh(isFresh bool) error {
 	if isFresh {
 		return nil
