Report a change as unknown if one control instance did not answer

Operators saw (by test): a change that one control instance had received without answering, and another one refused, was reported as refused. It may have been accepted.

Cause: Propose returned the reply of the last control instance that it asked.

--- a/pkg/controller/client.go
+++ b/pkg/controller/client.go
@@ -118,17 +118,23 @@
 	if err != nil {
 		return ProposeReply{}, err
 	}
-	return askAny(c, func(p *peer) (ProposeReply, error) {
+	var mayBeAccepted atomic.Bool
+	reply, err := askAny(c, func(p *peer) (ProposeReply, error) {
 		var reply ProposeReply
 		if err := p.call("Propose", ProposeQuery{Command: data}, &reply, operatorCallTimeout); err != nil {
-			// The reply to a call that timed out may still be written.
-			return ProposeReply{Unknown: true}, err
+			mayBeAccepted.Store(true)
+			return ProposeReply{}, err
 		}
 		if reply.Refused != "" {
 			return reply, errors.New(reply.Refused)
 		}
 		return reply, nil
 	})
+	if err != nil && mayBeAccepted.Load() {
+		// The refusal of one control instance says nothing about one that did not answer.
+		return ProposeReply{Unknown: true}, err
+	}
+	return reply, err
 }
 
 // Lookup returns the recorded outcome of a change, or an error if no majority confirmed that the read is fresh.
--- a/pkg/controller/paused_test.go
+++ b/pkg/controller/paused_test.go
@@ -82,3 +82,21 @@
 		}
 	})
 }
+
+// One control instance did not answer and another refused: the command may be accepted, and must not be reported as refused.
+func TestRefusalDoesNotHideUnknownOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tier := newTestTier(t, 3)
+		defer tier.close()
+		// The only control instance that answers has no leader.
+		tier.network.pause("paused-1")
+		defer func() { _ = tier.network.listeners["paused-1"].Close() }()
+		tier.stop("control-2")
+		tier.stop("control-3")
+		client := tier.newEntryClient("entry-1", "paused-1", "control-1")
+		reply, err := client.Propose(rowChange("c-1", 0, 2))
+		if err == nil || !reply.Unknown {
+			t.Errorf("got reply %+v and error %v, want an unknown outcome", reply, err)
+		}
+	})
+}
