Tests of leafs that leave: a list that lags for longer, side by side

With the check of when the list was read taken out on a scratch copy, both cases of TestLeavingLeafGetsNothingUntilItRestarts fail now (139 and 24 requests); with the shorter lag they had held.

--- a/pkg/steward/restart_test.go
+++ b/pkg/steward/restart_test.go
@@ -154,6 +154,7 @@
 // A leaf stated that it was leaving and started again under its identifier while the list could not be read, or before the list had shown
 // it. No instance sent it a request any more, so that no response could show that it was back, and its service was refused for good.
 func TestRestartedLeafGetsRequestsAgain(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name string
 		// isListFailing is set if the list cannot be read from before the leaf leaves until it has started again, and isListed if the
@@ -188,14 +189,15 @@
 
 // A leaf that goes on serving while it leaves must get nothing, whether the list shows that it is leaving or cannot be read.
 func TestLeavingLeafGetsNothingUntilItRestarts(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name          string
 		isListFailing bool
 		// listedAfter is when the list begins to show that the leaf is leaving.
 		listedAfter time.Duration
 	}{
-		{"the list lags", false, time.Second},
-		{"the list is out of reach for a while", true, time.Second},
+		{"the list lags", false, 2500 * time.Millisecond},
+		{"the list is out of reach for a while", true, 2500 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
