Keep statements of leaving leafs for 10 s against a list that has them as ready

Change: 10 s for a list that has the leaf as ready without having had it as draining, for leafs that lost their address as well. A change from draining to ready on a list that was read after the statement ends it at once, as it did before.

--- a/pkg/placer/restart.go
+++ b/pkg/placer/restart.go
@@ -7,18 +7,15 @@
 
 import "time"
 
-const (
-	// maxListLag is the time after which the list certainly shows that a leaf is leaving. The list of the platform is 0.8 s old.
-	maxListLag = 3 * time.Second
-	// replacedRetention is the time after which the list has certainly dropped a leaf whose address another one uses.
-	replacedRetention = 10 * time.Second
-)
+// maxListLag is the time after which the list certainly shows that a leaf is leaving or gone. A leaf may state that it is leaving some
+// seconds before the list shows it, and one that has crashed stays on the list for some seconds.
+const maxListLag = 10 * time.Second
 
 // OnListed records that the list of leafs as read at readAt has the leaf with its present attributes. It reports whether that shows that
 // the process which stated that it is leaving, or which lost its address, is not the one that is listed.
 func (l *Leaf) OnListed(readAt time.Duration) bool {
-	hasLeft := l.statesLeaving && !l.fields.Load().IsDraining && l.isLeavingRefutedBy(readAt)
-	isBack := l.isReplaced && readAt-l.replacedAt >= replacedRetention
+	hasLeft := l.statesLeaving && !l.fields.Load().IsDraining && readAt-l.leavingStatedAt >= maxListLag
+	isBack := l.isReplaced && readAt-l.replacedAt >= maxListLag
 	if !hasLeft && !isBack {
 		return false
 	}
@@ -26,15 +23,10 @@
 	return true
 }
 
-// isLeavingRefutedBy reports whether a list read at readAt would show that the leaf is leaving if it still were.
-func (l *Leaf) isLeavingRefutedBy(readAt time.Duration) bool {
-	return readAt-l.leavingStatedAt >= maxListLag
-}
-
-// forgetProcess drops what was learned from the responses of the process that the leaf was. A rate limit stays: requests still go to the
-// leaf at that rate, and the response to one of them ends it at all instances.
+// forgetProcess drops what was learned from the responses of the process that the leaf was before the list was read at readAt. A rate limit
+// stays: requests still go to the leaf at that rate, and the response to one of them ends it at all instances.
 func (l *Leaf) forgetProcess(readAt time.Duration) {
 	l.ForgetObservations()
 	l.isReplaced, l.restUntil = false, 0
-	l.statesLeaving = l.statesLeaving && !l.isLeavingRefutedBy(readAt)
+	l.statesLeaving = l.statesLeaving && l.leavingStatedAt >= readAt
 }
--- a/pkg/placer/restart_test.go
+++ b/pkg/placer/restart_test.go
@@ -20,12 +20,12 @@
 		wantRest bool
 	}{
 		{"read before the statement", []Fields{ready}, stated - time.Second, true, true},
-		{"read right after the statement", []Fields{ready}, stated + time.Second, true, true},
+		{"read soon after the statement", []Fields{ready}, stated + maxListLag - time.Millisecond, true, true},
 		{"read so late that it would show that the leaf leaves", []Fields{ready}, stated + maxListLag, false, false},
 		{"the leaf is listed as draining", []Fields{draining}, stated + time.Hour, true, true},
-		{"the leaf was listed as draining", []Fields{draining, ready}, stated + maxListLag, false, false},
-		{"the leaf was listed as draining, read right after the statement", []Fields{draining, ready}, stated + time.Second, true, false},
-		{"another version", []Fields{other}, stated + maxListLag, false, false},
+		{"the leaf was listed as draining", []Fields{draining, ready}, stated + time.Second, false, false},
+		{"the leaf was listed as draining, read before the statement", []Fields{draining, ready}, stated - time.Second, true, false},
+		{"another version", []Fields{other}, stated + time.Second, false, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -56,8 +56,8 @@
 		readAt time.Duration
 		want   bool
 	}{
-		{"the list may still have the leaf that is gone", replaced + replacedRetention - time.Millisecond, true},
-		{"the list would have dropped it", replaced + replacedRetention, false},
+		{"the list may still have the leaf that is gone", replaced + maxListLag - time.Millisecond, true},
+		{"the list would have dropped it", replaced + maxListLag, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/pkg/steward/restart_test.go
+++ b/pkg/steward/restart_test.go
@@ -179,9 +179,9 @@
 			leaf.restart()
 			callUntil(t, url, time.Now().Add(2*time.Second))
 			cluster.isListFailing.Store(false)
-			callUntil(t, url, time.Now().Add(3*time.Second))
+			callUntil(t, url, time.Now().Add(9*time.Second))
 			if served, sent := callUntil(t, url, time.Now().Add(time.Second)); served < sent {
-				t.Errorf("got %d of %d requests served 5s after the leaf started again and 3s after the list was back, want all", served, sent)
+				t.Errorf("got %d of %d requests served 11s after the leaf started again and 9s after the list was back, want all", served, sent)
 			}
 		})
 	}
@@ -196,8 +196,8 @@
 		// listedAfter is when the list begins to show that the leaf is leaving.
 		listedAfter time.Duration
 	}{
-		{"the list lags", false, 2500 * time.Millisecond},
-		{"the list is out of reach for a while", true, 2500 * time.Millisecond},
+		{"the leaf states it some seconds before the list", false, 5 * time.Second},
+		{"the list is out of reach for a while", true, 5 * time.Second},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -207,9 +207,9 @@
 			cluster.isListFailing.Store(c.isListFailing)
 			leaf.leave()
 			time.AfterFunc(c.listedAfter, func() { leaf.setListed(true) })
-			callUntil(t, url, time.Now().Add(5*time.Second))
+			callUntil(t, url, time.Now().Add(4*time.Second))
 			cluster.isListFailing.Store(false)
-			callUntil(t, url, time.Now().Add(3*time.Second))
+			callUntil(t, url, time.Now().Add(8*time.Second))
 			// The first response states that the leaf is leaving.
 			const margin = 250 * time.Millisecond
 			if count := leaf.countAfter(placer.DrainingGrace + margin); count > 0 {
