Take no step of a roll-out without the report of an entry instance

Cause: after the loss of all control instances the new leader knew no entry instance. That the last share is in force at all of them, and that no answer of the new version failed, is true of none, so that it set 30% and 100% and completed the roll-out on "0 of 0 answers".

Change: once the new version has a share, nothing but a fault or the lack of leafs changes the roll-out until an entry instance has reported on it.

Evidence: TestNothingIsCompletedWithoutReports, without the change: "11.8s after the order: got completed (completed after 11.8s: 0 of 0 answers of the new version failed ...), want no change".

--- a/pkg/promoter/promoter.go
+++ b/pkg/promoter/promoter.go
@@ -93,6 +93,8 @@
 		IsInForce bool
 		// IsListKnown reports whether the list of leafs has been read.
 		IsListKnown bool
+		// IsUnreported is set while no entry instance has reported on the roll-out to this leader.
+		IsUnreported bool
 		// Candidates is the number of listed leafs of the new version, and Warm the number of those that have warmed up.
 		Candidates int
 		Warm       int
@@ -143,6 +145,8 @@
 		return Decision{}
 	case o.Candidates == 0:
 		return p.awaitCandidates(o)
+	case o.IsUnreported && o.Rollout.Share > 0:
+		return Decision{}
 	case o.Rollout.Share >= tabulator.WholeShare:
 		return p.complete(o)
 	case p.hasSteppedBack && o.Rollout.Share > 0:
--- a/pkg/promoter/promoter_test.go
+++ b/pkg/promoter/promoter_test.go
@@ -220,6 +220,19 @@
 	}
 }
 
+// A leader that had just been elected after the loss of all control instances knew no entry instance yet. That the last share was in force at
+// all of them, and that no answer had failed, were both true of none, and it completed the roll-out of a bad version.
+func TestNothingIsCompletedWithoutReports(t *testing.T) {
+	rollout := tabulator.Rollout{Version: "v2", Duration: twelve, State: tabulator.RolloutRunning, Share: tabulator.WholeShare}
+	p := New(Settings{ExposureShare: 0.1, ExposureSlack: 50}, twelve)
+	for elapsed := twelve - time.Second; elapsed < 2*twelve; elapsed += 200 * time.Millisecond {
+		decision := p.Decide(Observation{Rollout: rollout, Elapsed: elapsed, SinceChange: elapsed, IsInForce: true, IsListKnown: true, IsUnreported: true, Candidates: 3, Warm: 3})
+		if decision.IsChange {
+			t.Fatalf("%v after the order: got %s (%s), want no change", elapsed, decision.State, decision.Reason)
+		}
+	}
+}
+
 func TestNothingGrowsUntilTheListIsKnownAndTheLeafsAreWarm(t *testing.T) {
 	rollout := tabulator.Rollout{Version: "v2", Duration: twelve, State: tabulator.RolloutRunning, Share: middleShare}
 	seen := Observation{Rollout: rollout, Elapsed: 10500 * time.Millisecond, SinceChange: time.Second, IsInForce: true, IsListKnown: true, Candidates: 3, Warm: 3}
@@ -238,6 +251,7 @@
 		{"no answers yet", change(func(o *Observation) { o.Evidence.Sent = 4000 }), middleShare},
 		{"one leaf cold", change(func(o *Observation) { o.Warm = 2 }), middleShare},
 		{"share not in force", change(func(o *Observation) { o.IsInForce = false }), middleShare},
+		{"no report of an entry instance yet", change(func(o *Observation) { o.IsUnreported = true }), middleShare},
 		{"all leafs gone", change(func(o *Observation) { o.Candidates, o.Warm = 0, 0 }), 0},
 	}
 	for _, c := range cases {
--- a/pkg/steward/rollout_loop.go
+++ b/pkg/steward/rollout_loop.go
@@ -134,7 +134,7 @@
 	leafs := c.countCandidates(versionKey{service: status.Rollout.Service, version: status.Rollout.Version})
 	decision := decider.Decide(promoter.Observation{
 		Rollout: status.Rollout, Elapsed: status.Elapsed, SinceChange: status.SinceChange, Evidence: status.Report.Evidence,
-		IsInForce: status.InForce.Everywhere, IsListKnown: isListKnown, Candidates: leafs.listed, Warm: leafs.warm,
+		IsInForce: status.InForce.Everywhere, IsListKnown: isListKnown, IsUnreported: status.Report.Instances == 0, Candidates: leafs.listed, Warm: leafs.warm,
 	})
 	if decision.IsChange || c.now()-c.rollouts.loggedAt[order] >= rolloutStatusInterval {
 		c.rollouts.loggedAt[order] = c.now()
