Take a version that is not known for no sign of a restart

Callers saw nothing of it: found in the review of the diff. During an upgrade, lists of control instances of an older build name no versions of leafs, so that a change of the leader looked like a restart of all leafs under their identifiers, which ends what they stated (rule DRAIN).

Change: a change between two known versions counts. The log line of a list that is taken has the age of the reading, which was always 0.

Evidence: the case "a version that is not known for a while" of TestListEndsStatementsOfFormerProcess fails without the change.

--- a/pkg/gatekeeper/gatekeeper.go
+++ b/pkg/gatekeeper/gatekeeper.go
@@ -230,7 +230,7 @@
 	g.hasRoster.Store(true)
 	g.signalInitialized()
 	g.config.Log.Info("gatekeeper: list of leafs taken", "leafs", len(roster.Leafs), "term", roster.Stamp.Term,
-		"sequence", roster.Stamp.Sequence, "age-ms", roster.Age.Milliseconds())
+		"sequence", roster.Stamp.Sequence, "age-ms", (g.config.Now() - roster.ReadAt).Milliseconds())
 }
 
 // ConfirmRoster records that the list of leafs with the given stamp was read again at readAt. It reports whether the list in use is that
--- a/pkg/placer/leaf.go
+++ b/pkg/placer/leaf.go
@@ -204,13 +204,18 @@
 	}
 	l.fields.Store(&fields)
 	l.warmUpUntil = warmUpUntil
-	hasRestarted := previous.IsDraining && !fields.IsDraining || previous.Version != fields.Version || previous.Service != fields.Service
+	hasRestarted := previous.IsDraining && !fields.IsDraining || previous.isOfOtherBuild(fields)
 	if hasRestarted {
 		l.forgetProcess(readAt)
 	}
 	return l.OnListed(readAt) || hasRestarted
 }
 
+// isOfOtherBuild reports whether the leaf runs another service or version. A control instance of an older build does not know versions.
+func (f *Fields) isOfOtherBuild(other Fields) bool {
+	return f.Service != other.Service || f.Version != other.Version && f.Version != "" && other.Version != ""
+}
+
 // IsClosed reports whether the leaf must get no more requests, since it has been draining for DrainingGrace.
 func (l *Leaf) IsClosed(now time.Duration) bool {
 	return l.IsDraining() && now-l.drainingSince >= DrainingGrace
--- a/pkg/placer/restart_test.go
+++ b/pkg/placer/restart_test.go
@@ -9,7 +9,7 @@
 func TestListEndsStatementsOfFormerProcess(t *testing.T) {
 	const stated = time.Minute
 	ready, draining := Fields{ID: "1", Slots: 2, Version: "v1"}, Fields{ID: "1", Slots: 2, Version: "v1", IsDraining: true}
-	other := Fields{ID: "1", Slots: 2, Version: "v2"}
+	other, unknown := Fields{ID: "1", Slots: 2, Version: "v2"}, Fields{ID: "1", Slots: 2}
 	cases := []struct {
 		name string
 		// lists are read one after the other, the last one at readAt.
@@ -26,6 +26,7 @@
 		{"the leaf was listed as draining", []Fields{draining, ready}, stated + time.Second, false, false},
 		{"the leaf was listed as draining, read before the statement", []Fields{draining, ready}, stated - time.Second, true, false},
 		{"another version", []Fields{other}, stated + time.Second, false, false},
+		{"a version that is not known for a while", []Fields{unknown, ready}, stated + time.Second, true, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
