--- a/review/standin3/quota.go
+++ b/review/standin3/quota.go
@@ -8,19 +8,21 @@
 	"time"
 )
 
-// The bounds of tpr-dakar-grown, and the allowance of each tenant.
+// The bounds of tpr-dakar-grown.
 const (
 	quotaWindow    = 5 * time.Second
 	quotaOvershoot = 0.1
 	quotaSlack     = 20.0
-	tenantRate     = 10.0
-	tenantBurst    = 150.0
 )
 
+// allowance is that of each tenant.
+type allowance struct{ rate, burst float64 }
+
 type (
 	// quotaBook has the requests of each tenant that ran.
 	quotaBook struct {
 		stage *stage
+		each  allowance
 		mu    sync.Mutex
 		sent  map[string]time.Time
 		runs  map[string][]quotaRun
@@ -29,8 +31,8 @@
 	quotaRun struct{ sentAt, arrivedAt time.Time }
 )
 
-func newQuotaBook(s *stage) *quotaBook {
-	return &quotaBook{stage: s, sent: map[string]time.Time{}, runs: map[string][]quotaRun{}}
+func newQuotaBook(s *stage, each allowance) *quotaBook {
+	return &quotaBook{stage: s, each: each, sent: map[string]time.Time{}, runs: map[string][]quotaRun{}}
 }
 
 // onRun records a request that a leaf begins to work on.
@@ -48,9 +50,9 @@
 	b.sent[id] = time.Now()
 }
 
-// quotaLimit is the number of requests of a tenant that may be sent and run within one window.
-func quotaLimit() float64 {
-	return (tenantRate*quotaWindow.Seconds()+tenantBurst)*(1+quotaOvershoot) + quotaSlack
+// limit is the number of requests of a tenant that may be sent and run within one window.
+func (a allowance) limit() float64 {
+	return (a.rate*quotaWindow.Seconds()+a.burst)*(1+quotaOvershoot) + quotaSlack
 }
 
 // check returns the tenants of which more requests ran in some window than the rule allows.
@@ -71,9 +73,9 @@
 				most, from = count, first.sentAt
 			}
 		}
-		line := fmt.Sprintf("tenant %s: %d requests in the 5 s from %.3f s; allowed are %.0f", tenant, most, b.stage.record.at(from).Seconds(), quotaLimit())
+		line := fmt.Sprintf("tenant %s: %d requests in the 5 s from %.3f s; allowed are %.0f", tenant, most, b.stage.record.at(from).Seconds(), b.each.limit())
 		b.stage.record.note("%s", line)
-		if float64(most) > quotaLimit() {
+		if float64(most) > b.each.limit() {
 			broken = append(broken, "QUOTA: "+line)
 		}
 	}
@@ -82,10 +84,10 @@
 }
 
 // quotaConfig returns a configuration with one plain route and the given tenants.
-func quotaConfig(version uint64, tenants []string) map[string]any {
+func quotaConfig(version uint64, tenants []string, each allowance) map[string]any {
 	holders := make([]map[string]any, 0, len(tenants))
 	for _, name := range tenants {
-		holders = append(holders, map[string]any{"name": name, "apiKeys": []string{"key-of-" + name}, "priority": 1, "ratePerS": tenantRate, "burst": tenantBurst})
+		holders = append(holders, map[string]any{"name": name, "apiKeys": []string{"key-of-" + name}, "priority": 1, "ratePerS": each.rate, "burst": each.burst})
 	}
 	config := plainConfig(version, "safe", "card")
 	config["tenants"] = holders
--- a/review/standin3/stage.go
+++ b/review/standin3/stage.go
@@ -44,9 +44,11 @@
 		ready    string
 		settings string
 		dataDir  string
-		mu       sync.Mutex
-		command  *exec.Cmd
-		ended    chan struct{}
+		// links is where a control instance accepts calls of other processes if these pass through a proxy.
+		links   string
+		mu      sync.Mutex
+		command *exec.Cmd
+		ended   chan struct{}
 	}
 )
 
@@ -141,6 +143,9 @@
 	if p.role == "control" {
 		listen["control"], dataDir = p.address, p.dataDir
 		class, serves, disk = "core", "control", 128
+		if p.links != "" {
+			listen["links"] = p.links
+		}
 	} else {
 		listen["front"], listen["readiness"] = p.address, p.ready
 	}
