review: drop the case on a killed instance, renumber the other one

It is removed; the case of two instances that hand out one allowance (review 13 until now) is case 12.

--- a/review/standin3/case12.go
+++ b/review/standin3/case12.go
@@ -6,30 +6,46 @@
 	"time"
 )
 
-func init() { cases["12"] = quotaAfterLoss }
+func init() { cases["12"] = quotaAfterRestart }
 
-// darkTime is how long the entry instance has no power.
-const darkTime = 3500 * time.Millisecond
+const (
+	// cutTime is how long the responsible instance is partitioned from the control instances, and restartAfter the time from the begin of
+	// the cut to the stop of another instance.
+	cutTime      = 5500 * time.Millisecond
+	restartAfter = 1600 * time.Millisecond
+	restartPause = 500 * time.Millisecond
+)
 
-// quotaAfterLoss has all tenants send more than their allowances to two entry instances, while the third one loses power.
-func quotaAfterLoss(s *stage) ([]string, error) {
-	b, tenants, entries, clients, err := startQuota(s, allowance{rate: 10, burst: 150}, nil)
+// quotaAfterRestart has all tenants send more than their allowances to all entry instances, while one of them is partitioned from the
+// control instances and another one restarts.
+func quotaAfterRestart(s *stage) ([]string, error) {
+	c := newCut("front-1")
+	defer c.close()
+	b, tenants, entries, clients, err := startQuota(s, allowance{rate: 50, burst: 50}, c)
 	if err != nil {
 		return nil, err
 	}
 	var group sync.WaitGroup
-	until := time.Now().Add(7 * time.Second)
+	until := time.Now().Add(9 * time.Second)
 	for _, tenant := range tenants {
-		group.Go(func() { b.press(tenant, entries[1:], clients, 150, until, &group) })
+		for _, p := range entries {
+			group.Go(func() { b.press(tenant, []*process{p}, clients, 80, until, &group) })
+		}
 	}
-	time.Sleep(1200 * time.Millisecond)
+	time.Sleep(time.Second)
 	if s.troubled {
-		entries[0].signal(syscall.SIGKILL)
-		entries[0].await()
-		time.Sleep(darkTime)
-		if err := entries[0].start(false); err != nil {
+		s.record.note("front-1 is cut off from all control instances")
+		c.isActive.Store(true)
+		time.Sleep(restartAfter)
+		entries[2].signal(syscall.SIGKILL)
+		entries[2].await()
+		time.Sleep(restartPause)
+		if err := entries[2].start(false); err != nil {
 			return nil, err
 		}
+		time.Sleep(cutTime - restartAfter - restartPause)
+		c.isActive.Store(false)
+		s.record.note("the cut is over")
 	}
 	group.Wait()
 	return b.check(), nil
