Take the votes of control instances that are gone, whatever their number

What callers saw: after two of five control instances had been replaced, the loss of two disks left no leader for good.

Cause: a silent voter was removed only while the number of voters was even. The second newcomer got its vote while the first old instance had been silent for less than 1.5 s; seven voters stayed, two of them gone, and four of the five living ones were needed from then on. Near it: a promotion raised the quorum while a voter was lost, and the old disk of an instance went only after its new one had its vote, so that for a moment all living ones were needed; a stopping instance told nobody; a leader on a new disk never removed its old one, since its own last contact was the time of its election.

Change: every responsive instance votes, and at least as many as the tolerated losses need. A voter that is silent, or that says in its replies that it is stopping, becomes a learner if so many others remain, or with an odd number of voters if a learner takes its place at once. It stays a learner for a minute, so that one that was paused or cut off gets its vote back. The quorum does not grow while a voter may be lost.

A silent learner went after 5 s; it goes after LearnerTimeout, since it may be a voter that returns.

--- /dev/null
+++ b/pkg/controller/member_series_test.go
@@ -0,0 +1,628 @@
+// Random series of replacements and failures of control instances in simulated
+// time, within the stated tolerance of two lost disks.
+
+package controller
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lovagedeck/pkg/journaler"
+	"lovagedeck/pkg/replicator"
+	"lovagedeck/pkg/tabulator"
+)
+
+var (
+	seriesCount = flag.Int("series", 12, "number of random series of member changes")
+	seriesFirst = flag.Uint64("first-series", 1, "seed of the first series")
+)
+
+// The bounds are those of the platform.
+const (
+	seriesTolerance = 2
+	seriesVoters    = 2*seriesTolerance + 1
+	catchUpTime     = 4 * time.Second
+	ackTimeout      = 5 * time.Second
+	recoveryTime    = 12 * time.Second
+	stopTimeout     = 2500 * time.Millisecond
+	// shortOfVoters is how long a change from one member to another may take.
+	shortOfVoters = time.Second
+)
+
+type (
+	// series is a tier of control instances that is changed and disturbed at random, and what its operator has seen.
+	series struct {
+		*testTier
+		random *rand.Rand
+		mu     sync.Mutex
+		// running lists the instances that have not been removed for good, whether or not they are disturbed.
+		running []string
+		// lostUntil is when each instance that is lost counts again. An instance that is removed counts until its successor has caught up.
+		lostUntil map[string]time.Duration
+		// diskLostUntil is the same for those whose disks are lost.
+		diskLostUntil map[string]time.Duration
+		// changing lists the instances that are being replaced or disturbed.
+		changing map[string]bool
+		// frozen lists the instances whose loop is stopped. A call to one does not return.
+		frozen      map[string]bool
+		isSplit     bool
+		added       int
+		acked       []string
+		answerBy    time.Duration
+		fewSince    time.Duration
+		violations  []string
+		log         []string
+		stop        chan struct{}
+		disturbance sync.WaitGroup
+	}
+
+	// disturbance is one kind of change or failure of an instance.
+	disturbance struct {
+		name string
+		// isLoss is set if the instance counts as lost meanwhile, and losesDisk if its disk is lost.
+		isLoss    bool
+		losesDisk bool
+		run       func(s *series, name string)
+	}
+)
+
+var (
+	planned   = disturbance{name: "planned replacement", run: (*series).replacePlanned}
+	unplanned = disturbance{name: "unplanned replacement", isLoss: true, losesDisk: true, run: (*series).replaceUnplanned}
+	frozen    = disturbance{name: "freeze", isLoss: true, run: (*series).freeze}
+	// disturbances lists replacements twice, which makes them come in series.
+	disturbances = []disturbance{
+		planned, planned, unplanned, unplanned, frozen,
+		{name: "lost disk", isLoss: true, losesDisk: true, run: (*series).loseDisk},
+		{name: "partition", isLoss: true, run: (*series).partition},
+		{name: "kill", isLoss: true, run: (*series).kill},
+		{name: "planned restart", isLoss: true, run: (*series).restart},
+	}
+)
+
+// Members that were gone for good took tolerance from the living: after two replacements in a row, or at once, the loss of two disks left
+// no leader for good. Members that are paused, partitioned or down must still come back and count.
+func TestMemberSeries(t *testing.T) {
+	for seed := *seriesFirst; seed < *seriesFirst+uint64(*seriesCount); seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runSeries(t, seed) })
+		})
+	}
+}
+
+// The same with given series. Each ends with the loss of two disks.
+func TestReplacementsInSeries(t *testing.T) {
+	const gap = 4200 * time.Millisecond
+	cases := []struct {
+		name string
+		run  func(s *series)
+	}{
+		{"two planned, one after the other", func(s *series) {
+			s.replaceInTurn(planned, 2, gap)
+			time.Sleep(20 * time.Second)
+		}},
+		{"two planned at once", func(s *series) { s.replaceInTurn(planned, 2, 0) }},
+		{"five planned at once", func(s *series) { s.replaceInTurn(planned, 5, 0) }},
+		{"two unplanned at once", func(s *series) { s.replaceInTurn(unplanned, 2, 0) }},
+		{"three planned in turn", func(s *series) { s.replaceInTurn(planned, 3, gap) }},
+		{"four unplanned in turn", func(s *series) { s.replaceInTurn(unplanned, 4, 2*gap) }},
+		{"five planned in turn", func(s *series) { s.replaceInTurn(planned, 5, gap/2) }},
+		{"two planned at once during a freeze", func(s *series) {
+			s.disturb(frozen, s.running[2])
+			s.replaceInTurn(planned, 2, 0)
+		}},
+	}
+	for _, c := range cases {
+		for _, isPowerLost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, power lost %v", c.name, isPowerLost), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					s := newSeries(t, 1)
+					defer s.close()
+					c.run(s)
+					s.disturbance.Wait()
+					s.endWithLostDisks(isPowerLost)
+					s.report()
+				})
+			})
+		}
+	}
+}
+
+func runSeries(t *testing.T, seed uint64) {
+	s := newSeries(t, seed)
+	defer s.close()
+	for range 6 + s.random.IntN(12) {
+		time.Sleep(s.upTo(5 * time.Second))
+		switch p := s.random.IntN(20); p {
+		case 0:
+			s.split()
+		case 1:
+			s.losePower()
+		default:
+			d := disturbances[s.random.IntN(len(disturbances))]
+			for range 1 + s.random.IntN(2) {
+				s.disturbAny(d)
+			}
+		}
+	}
+	s.disturbance.Wait()
+	if s.random.IntN(2) == 0 {
+		time.Sleep(s.upTo(2 * catchUpTime))
+	}
+	s.endWithLostDisks(s.random.IntN(2) == 0)
+	s.report()
+}
+
+// newSeries starts five instances that found a log, with an operator that makes changes.
+func newSeries(t *testing.T, seed uint64) *series {
+	t.Helper()
+	s := &series{
+		testTier: &testTier{t: t, network: newMemoryNetwork(), folder: t.TempDir(), startedAt: time.Now(), instances: map[string]*testInstance{}},
+		random:   rand.New(rand.NewPCG(seed, 7)), lostUntil: map[string]time.Duration{}, diskLostUntil: map[string]time.Duration{},
+		changing: map[string]bool{}, frozen: map[string]bool{}, stop: make(chan struct{}),
+	}
+	s.discovery = func(string) *Discovery {
+		seeds := append([]string(nil), s.running[:min(3, len(s.running))]...)
+		return &Discovery{Seeds: func() []string { return seeds }, ExpectedVoters: seriesVoters}
+	}
+	s.running = []string{"c1", "c2", "c3", "c4", "c5"}
+	s.names = append([]string(nil), s.running...)
+	s.added = len(s.running)
+	for _, name := range s.names {
+		s.add(name, name == s.names[0])
+	}
+	s.waitUntil("all instances vote", func() bool { return len(s.voters()) == seriesVoters })
+	s.answerBy = s.now() + ackTimeout
+	go s.operate()
+	go s.watch()
+	return s
+}
+
+func (s *series) close() {
+	close(s.stop)
+	time.Sleep(10 * time.Second)
+	s.testTier.close()
+}
+
+func (s *series) upTo(limit time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.random.Int64N(int64(limit)))
+}
+
+func (s *series) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, fmt.Sprintf("%8.3f ", s.now().Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (s *series) violate(format string, args ...any) {
+	s.note("VIOLATION: "+format, args...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.violations = append(s.violations, fmt.Sprintf(format, args...))
+}
+
+func (s *series) report() {
+	s.t.Helper()
+	if len(s.violations) == 0 {
+		return
+	}
+	for _, line := range s.log {
+		s.t.Log(line)
+	}
+	s.t.Error(s.violations[0])
+}
+
+// lostCount returns the number of instances, or of disks, that are lost.
+func (s *series) lostCount(lostUntil map[string]time.Duration) int {
+	count := 0
+	for _, until := range lostUntil {
+		if s.now() < until {
+			count++
+		}
+	}
+	return count
+}
+
+// disturbAny disturbs a random instance, unless that exceeds the tolerance.
+func (s *series) disturbAny(d disturbance) {
+	s.mu.Lock()
+	var free []string
+	for _, name := range s.running {
+		if !s.changing[name] && s.lostUntil[name] <= s.now() {
+			free = append(free, name)
+		}
+	}
+	isAllowed := len(free) > 0 && (!d.isLoss || s.lostCount(s.lostUntil) < seriesTolerance) && (!d.losesDisk || s.lostCount(s.diskLostUntil) < seriesTolerance)
+	if !isAllowed {
+		s.mu.Unlock()
+		return
+	}
+	name := free[s.random.IntN(len(free))]
+	s.mu.Unlock()
+	s.disturb(d, name)
+}
+
+const untilFurtherNotice = 1000 * time.Hour
+
+func (s *series) disturb(d disturbance, name string) {
+	s.mu.Lock()
+	s.changing[name] = true
+	if d.isLoss {
+		s.lostUntil[name] = untilFurtherNotice
+	}
+	if d.losesDisk {
+		s.diskLostUntil[name] = untilFurtherNotice
+	}
+	s.mu.Unlock()
+	s.note("%s of %s", d.name, name)
+	s.disturbance.Add(1)
+	go func() {
+		defer s.disturbance.Done()
+		d.run(s, name)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.changing, name)
+		for _, lostUntil := range []map[string]time.Duration{s.lostUntil, s.diskLostUntil} {
+			if lostUntil[name] == untilFurtherNotice {
+				lostUntil[name] = s.now() + catchUpTime
+			}
+		}
+	}()
+}
+
+func (s *series) replaceInTurn(replacement disturbance, count int, gap time.Duration) {
+	for _, name := range append([]string(nil), s.running[:count]...) {
+		s.disturb(replacement, name)
+		time.Sleep(gap)
+	}
+}
+
+func (s *series) addInstance() string {
+	s.mu.Lock()
+	s.added++
+	name := fmt.Sprint("c", s.added)
+	s.mu.Unlock()
+	s.note("%s starts with an empty disk", name)
+	s.addSafely(name)
+	return name
+}
+
+// addSafely adds an instance while other goroutines read the list of instances.
+func (s *series) addSafely(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.names = append(s.names, name)
+	s.add(name, false)
+	s.running = append(s.running, name)
+}
+
+func (s *series) removeForGood(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running = slices.DeleteFunc(s.running, func(other string) bool { return other == name })
+}
+
+func (s *series) replacePlanned(name string) {
+	successor := s.addInstance()
+	time.Sleep(catchUpTime)
+	s.terminate(name)
+	s.removeForGood(name)
+	s.note("%s has ended, its successor is %s", name, successor)
+}
+
+func (s *series) replaceUnplanned(name string) {
+	s.stopSafely(name)
+	s.removeForGood(name)
+	time.Sleep(s.upTo(2 * time.Second))
+	s.addInstance()
+}
+
+func (s *series) loseDisk(name string) {
+	s.stopSafely(name)
+	time.Sleep(s.upTo(time.Second))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.startWithNewDisk(name)
+}
+
+func (s *series) startWithNewDisk(name string) {
+	s.instances[name].folder += "-new"
+	if _, err := journaler.Format(s.instances[name].folder, testCluster, name, false); err != nil {
+		s.t.Error(err)
+	}
+	s.start(name)
+}
+
+// freeze stops the loop of an instance, while its connections are still accepted.
+func (s *series) freeze(name string) {
+	duration := 500*time.Millisecond + s.upTo(8*time.Second)
+	s.setFrozen(name, true)
+	defer s.setFrozen(name, false)
+	done := make(chan struct{})
+	_ = s.server(name).enqueue(func() {
+		time.Sleep(duration)
+		close(done)
+	})
+	<-done
+	s.note("%s goes on", name)
+}
+
+func (s *series) setFrozen(name string, isFrozen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen[name] = isFrozen
+}
+
+func (s *series) partition(name string) {
+	s.network.setIsolated(name, true)
+	time.Sleep(500*time.Millisecond + s.upTo(8*time.Second))
+	s.network.setIsolated(name, false)
+	s.note("%s is reached again", name)
+}
+
+func (s *series) kill(name string) {
+	s.stopSafely(name)
+	time.Sleep(200*time.Millisecond + s.upTo(4*time.Second))
+	s.startSafely(name)
+}
+
+func (s *series) restart(name string) {
+	s.terminate(name)
+	time.Sleep(200*time.Millisecond + s.upTo(time.Second))
+	s.startSafely(name)
+}
+
+func (s *series) terminate(name string) {
+	s.server(name).Leave(stopTimeout)
+	s.stopSafely(name)
+}
+
+// split cuts half of the instances off from the others.
+func (s *series) split() {
+	s.mu.Lock()
+	if s.isSplit || len(s.changing) > 0 {
+		s.mu.Unlock()
+		return
+	}
+	s.isSplit = true
+	far := map[string]bool{}
+	for _, i := range s.random.Perm(len(s.running))[:len(s.running)/2] {
+		far[s.running[i]] = true
+	}
+	s.mu.Unlock()
+	s.note("split: %v on the far side", far)
+	s.network.setFarSide(far)
+	s.disturbance.Add(1)
+	go func() {
+		defer s.disturbance.Done()
+		time.Sleep(time.Second + s.upTo(4*time.Second))
+		s.network.setFarSide(nil)
+		s.note("the split ends")
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.isSplit = false
+	}()
+}
+
+func (n *memoryNetwork) setFarSide(names map[string]bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.farSide = names
+}
+
+// losePower stops all instances that are not disturbed and starts them again.
+func (s *series) losePower() {
+	s.mu.Lock()
+	if len(s.changing) > 0 {
+		s.mu.Unlock()
+		return
+	}
+	names := append([]string(nil), s.running...)
+	for _, name := range names {
+		s.lostUntil[name] = s.now() + catchUpTime
+	}
+	s.mu.Unlock()
+	s.note("all lose power")
+	for _, name := range names {
+		s.stopSafely(name)
+	}
+	time.Sleep(time.Second)
+	for _, name := range names {
+		s.startSafely(name)
+	}
+}
+
+// endWithLostDisks makes two random instances lose their disks right after a change, and checks that nothing acknowledged is lost.
+func (s *series) endWithLostDisks(isPowerLost bool) {
+	s.waitUntil("no instance counts as lost", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.lostCount(s.lostUntil) == 0
+	})
+	s.mu.Lock()
+	names := append([]string(nil), s.running...)
+	s.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	for _, name := range names {
+		s.lostUntil[name] = s.now() + catchUpTime
+	}
+	s.mu.Unlock()
+	s.note("voters before the end: %v", s.voters())
+	s.note("%v lose their disks, power lost: %v", names[:seriesTolerance], isPowerLost)
+	stopped := names[:seriesTolerance]
+	if isPowerLost {
+		stopped = names
+	}
+	for _, name := range stopped {
+		s.stopSafely(name)
+	}
+	time.Sleep(time.Second)
+	for i, name := range stopped {
+		if i >= seriesTolerance {
+			s.startSafely(name)
+			continue
+		}
+		s.mu.Lock()
+		s.startWithNewDisk(name)
+		s.mu.Unlock()
+	}
+	time.Sleep(recoveryTime)
+	s.mu.Lock()
+	acked := append([]string(nil), s.acked...)
+	s.mu.Unlock()
+	for _, name := range names {
+		s.checkHolds(name, acked)
+	}
+	if voters := s.voters(); len(voters) < seriesVoters {
+		s.violate("at the end the log has the voters %v, want at least %d", voters, seriesVoters)
+	}
+}
+
+func (s *series) checkHolds(name string, acked []string) {
+	for _, id := range acked {
+		dataCentre, isFresh := s.server(name).DataCentre("d-" + id)
+		if !isFresh {
+			s.violate("%s gave no confirmed answer %v after the loss of two disks", name, recoveryTime)
+			return
+		}
+		if dataCentre.State != tabulator.StateOut {
+			s.violate("%s lost the acknowledged change %s", name, id)
+		}
+	}
+}
+
+// operate makes one change after the other through random instances, and waits up to a second for each.
+func (s *series) operate() {
+	for i := 0; ; i++ {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(200 * time.Millisecond):
+		}
+		s.mu.Lock()
+		name := s.running[s.random.IntN(len(s.running))]
+		s.mu.Unlock()
+		server := s.server(name)
+		if server == nil {
+			continue
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.change(server, fmt.Sprint(i))
+		}()
+		select {
+		case <-done:
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+func (s *series) change(server *Server, id string) {
+	reply := server.Propose(tabulator.SetDataCentre{ChangeID: id, Name: "d-" + id, State: tabulator.StateOut})
+	if reply.Refused != "" || reply.Unknown || reply.Result.Verdict != tabulator.VerdictAccepted {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.acked = append(s.acked, id)
+	s.answerBy = max(s.answerBy, s.now()+ackTimeout)
+}
+
+// watch checks that changes are acknowledged in time while the losses are within the tolerance, and the number of voters.
+func (s *series) watch() {
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		voters := s.voters()
+		s.mu.Lock()
+		now := s.now()
+		if s.isSplit || s.lostCount(s.lostUntil) > seriesTolerance {
+			s.answerBy = max(s.answerBy, now+recoveryTime)
+		}
+		isLate, fewSince := now > s.answerBy, s.fewSince
+		if isLate {
+			s.answerBy = untilFurtherNotice
+		}
+		if len(voters) == 0 || len(voters) >= seriesVoters {
+			s.fewSince = 0
+		} else if fewSince == 0 {
+			s.fewSince = now
+		}
+		s.mu.Unlock()
+		switch {
+		case isLate:
+			s.violate("no change was acknowledged in time at %v, voters %v", now, voters)
+		case len(voters) > 0 && len(voters) < seriesVoters-1:
+			s.violate("the log has the voters %v, want at least %d", voters, seriesVoters-1)
+		case fewSince > 0 && now-fewSince > shortOfVoters:
+			s.violate("the log has the voters %v for more than %v, want at least %d", voters, shortOfVoters, seriesVoters)
+		}
+	}
+}
+
+// voters returns the voters as known to an established leader, or nil if there is none.
+func (s *series) voters() []replicator.NodeID {
+	s.mu.Lock()
+	names := append([]string(nil), s.running...)
+	s.mu.Unlock()
+	for _, name := range names {
+		server := s.server(name)
+		if server == nil {
+			continue
+		}
+		if _, isLeader := server.LeaderTerm(); !isLeader || s.isOutOfTouch(name) {
+			continue
+		}
+		voters, err := await(server, func(answer func([]replicator.NodeID)) { answer(server.core.Config().Voters) })
+		if err == nil {
+			return voters
+		}
+	}
+	return nil
+}
+
+func (s *series) isOutOfTouch(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.frozen[name] || s.network.isCut(name, "")
+}
+
+// server returns the server of an instance, or nil while it is stopped.
+func (s *series) server(name string) *Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.instances[name].server
+}
+
+func (s *series) startSafely(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.start(name)
+}
+
+// stopSafely stops an instance while other goroutines call it.
+func (s *series) stopSafely(name string) {
+	s.mu.Lock()
+	instance := s.instances[name]
+	server, rpcServer, journal := instance.server, instance.rpcServer, instance.journal
+	instance.server = nil
+	s.mu.Unlock()
+	server.Close()
+	rpcServer.Close()
+	if err := journal.Close(); err != nil {
+		s.t.Error(err)
+	}
+}
--- a/pkg/controller/membership.go
+++ b/pkg/controller/membership.go
@@ -54,15 +54,16 @@
 	}
 	m.nextCheck = now + membershipInterval
 	if isLeading := s.isEstablishedLeader(); isLeading != m.isLeading {
-		m.isLeading, m.leaderSince = isLeading, now
+		// A change that was in progress when this instance lost the lead must not delay those of its new term.
+		m.isLeading, m.leaderSince, m.isChanging = isLeading, now, false
 	}
 	if !m.isLeading || m.isChanging {
 		return
 	}
 	status := s.core.Status()
 	change := recruiter.Decide(recruiter.View{
-		Self: status.ID, Now: now, Config: status.Config, Commit: status.Commit, Match: status.Match,
-		HeardAt: status.HeardAt, JoinRequests: m.joinRequests,
+		Self: status.ID, Now: now, Config: status.Config, ExpectedVoters: m.discovery.ExpectedVoters, Commit: status.Commit, Match: status.Match,
+		HeardAt: status.HeardAt, Leaving: status.Leaving, JoinRequests: m.joinRequests,
 	})
 	if change.Action == recruiter.NoChange {
 		return
@@ -80,7 +81,7 @@
 }
 
 var configActions = map[recruiter.Action]ConfigAction{
-	recruiter.AddLearner: ActionAddLearner, recruiter.Promote: ActionPromote, recruiter.Remove: ActionRemove,
+	recruiter.AddLearner: ActionAddLearner, recruiter.Promote: ActionPromote, recruiter.Demote: ActionAddLearner, recruiter.Remove: ActionRemove,
 }
 
 // allowsCommands reports whether the log has the number of voters that its durability requires, or has waited votersTimeout
@@ -92,6 +93,26 @@
 	return len(s.core.Config().Voters) >= m.discovery.ExpectedVoters || s.config.Now()-m.leaderSince > votersTimeout
 }
 
+// Leave tells the leader that this instance is about to stop, and waits until it has no vote or keeps it because the others do not
+// suffice, for the timeout at most. An instance that starts again with its disk gets its vote back.
+func (s *Server) Leave(timeout time.Duration) {
+	if s.config.Discovery == nil || s.enqueue(func() { s.step(replicator.Leave{}) }) != nil {
+		return
+	}
+	for deadline := s.config.Now() + timeout; s.config.Now() < deadline; time.Sleep(tickInterval) {
+		canLoseVote, err := await(s, func(answer func(bool)) { answer(s.failed == nil && s.canLoseVote()) })
+		if err != nil || !canLoseVote {
+			return
+		}
+	}
+}
+
+// canLoseVote reports whether this instance is a voter that the leader can spare or replace, as far as this instance knows.
+func (s *Server) canLoseVote() bool {
+	config := s.core.Config()
+	return config.HasVoter(s.config.Node) && (len(config.Learners) > 0 || len(config.Voters) > s.config.Discovery.ExpectedVoters)
+}
+
 // announceLoop sends join requests while this instance is not a member of the log or has lost contact with the leader.
 func (s *Server) announceLoop() {
 	ticker := time.NewTicker(announceInterval)
--- a/pkg/controller/tier_test.go
+++ b/pkg/controller/tier_test.go
@@ -21,11 +21,14 @@
 const testCluster = "test"
 
 type (
-	// memoryNetwork connects instances by pipes. Connections of an isolated instance stay open but carry no data.
+	// memoryNetwork connects instances by pipes. Connections of an isolated instance, and between instances on the two sides of a
+	// partition, stay open but carry no data.
 	memoryNetwork struct {
 		mu            sync.Mutex
 		listeners     map[string]*memoryListener
 		isolatedNames map[string]bool
+		// farSide lists the instances on one side of a partition. All others are on the other side.
+		farSide map[string]bool
 	}
 
 	memoryListener struct {
@@ -49,6 +52,8 @@
 		names     []string
 		instances map[string]*testInstance
 		clients   []*Client
+		// discovery returns how an instance finds the others. If nil, each is told the names of all.
+		discovery func(name string) *Discovery
 	}
 
 	testInstance struct {
@@ -99,7 +104,7 @@
 func (n *memoryNetwork) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.isolatedNames[from] || n.isolatedNames[to]
+	return n.isolatedNames[from] || n.isolatedNames[to] || n.farSide[from] != n.farSide[to]
 }
 
 func (n *memoryNetwork) setIsolated(name string, isolated bool) {
@@ -139,15 +144,21 @@
 		tier.names = append(tier.names, fmt.Sprintf("control-%d", i+1))
 	}
 	for _, name := range tier.names {
-		tier.instances[name] = &testInstance{folder: filepath.Join(tier.folder, name)}
-		if _, err := journaler.Format(tier.instances[name].folder, testCluster, name, true); err != nil {
-			t.Fatal(err)
-		}
-		tier.start(name)
+		tier.add(name, true)
 	}
 	return tier
 }
 
+// add starts an instance with an empty disk.
+func (tier *testTier) add(name string, isBootstrap bool) {
+	tier.t.Helper()
+	tier.instances[name] = &testInstance{folder: filepath.Join(tier.folder, name)}
+	if _, err := journaler.Format(tier.instances[name].folder, testCluster, name, isBootstrap); err != nil {
+		tier.t.Fatal(err)
+	}
+	tier.start(name)
+}
+
 func (tier *testTier) now() time.Duration { return time.Since(tier.startedAt) }
 
 func (tier *testTier) newLinker(name string) *linker.Linker {
@@ -170,11 +181,18 @@
 		}
 	}
 	link := tier.newLinker(name)
-	server, err := NewServer(ServerConfig{
+	config := ServerConfig{
 		Instance: name, Node: journal.Identity().Node(), InitialVoters: initialVoters, Addresses: addresses, Linker: link, Store: journal,
 		Saved: saved, Now: tier.now, Random: rand.New(rand.NewPCG(uint64(len(name)), uint64(name[len(name)-1]))),
 		Timeline: timeliner.New(name, time.Now),
-	})
+	}
+	if tier.discovery != nil {
+		config.Discovery, config.Addresses = tier.discovery(name), nil
+		if journal.Identity().Disk == journaler.BootstrapDisk {
+			config.InitialVoters = []replicator.NodeID{config.Node}
+		}
+	}
+	server, err := NewServer(config)
 	if err != nil {
 		tier.t.Fatal(err)
 	}
--- a/pkg/controller/wire.go
+++ b/pkg/controller/wire.go
@@ -196,7 +196,7 @@
 )
 
 const (
-	// ActionAddLearner adds a node as a non-voting member.
+	// ActionAddLearner adds a node as a non-voting member, or takes the vote of a voter.
 	ActionAddLearner ConfigAction = "add-learner"
 	// ActionPromote makes a learner a voter.
 	ActionPromote ConfigAction = "promote"
--- a/pkg/replicator/core.go
+++ b/pkg/replicator/core.go
@@ -40,6 +40,7 @@
 		leaderContactAt time.Duration
 		heartbeatAt     time.Duration
 		readRounds      readRounds
+		isLeaving       bool
 		output          Output
 	}
 
@@ -49,6 +50,7 @@
 		matchIndex    uint64
 		lastContactAt time.Duration
 		ackedRound    uint64
+		isLeaving     bool
 		// retransmitIndex is the first entry of the last retransmission after a rejection, which was sent at retransmitAt.
 		retransmitIndex uint64
 		retransmitAt    time.Duration
@@ -71,6 +73,8 @@
 		// HeardAt is the time of the last reply of each node or, before its first reply, the time from which the leader tracks it.
 		// A node that is not the leader lists only itself.
 		HeardAt map[NodeID]time.Duration
+		// Leaving has an entry for each node that is about to stop. A node that is not the leader lists at most itself.
+		Leaving map[NodeID]bool
 	}
 )
 
@@ -105,6 +109,8 @@
 		c.requestReadIndex(in.ID)
 	case Compact:
 		c.compact(in)
+	case Leave:
+		c.isLeaving = true
 	}
 	c.collectCommitted()
 	return c.output
@@ -115,11 +121,20 @@
 	status := Status{
 		ID: c.id, Role: c.role, Leader: c.leader, Term: c.term, Commit: c.commit,
 		LastIndex: c.log.lastIndex(), LogLength: len(c.log.entries), Config: c.log.config, Match: map[NodeID]uint64{},
-		HeardAt: map[NodeID]time.Duration{c.id: c.now},
+		HeardAt: map[NodeID]time.Duration{c.id: c.now}, Leaving: map[NodeID]bool{},
+	}
+	if c.isLeaving {
+		status.Leaving[c.id] = true
 	}
 	for id, p := range c.progress {
+		if id == c.id {
+			continue
+		}
 		status.Match[id] = p.matchIndex
 		status.HeardAt[id] = p.lastContactAt
+		if p.isLeaving {
+			status.Leaving[id] = true
+		}
 	}
 	return status
 }
--- a/pkg/replicator/message.go
+++ b/pkg/replicator/message.go
@@ -91,9 +91,11 @@
 		ConfirmID uint64
 		// Index is the read index.
 		Index uint64
+		// Leaving is set in replies to MessageAppend and MessageSnapshot by a node that is about to stop.
+		Leaving bool
 	}
 
-	// Input is an event for Core.Step: a Tick, Receive, Propose, ProposeConfig, ReadIndex or Compact.
+	// Input is an event for Core.Step: a Tick, Receive, Propose, ProposeConfig, ReadIndex, Compact or Leave.
 	Input interface {
 		isInput()
 	}
@@ -129,6 +131,9 @@
 		Data  []byte
 	}
 
+	// Leave makes this node state in its replies to the leader that it is about to stop.
+	Leave struct{}
+
 	// Write is a change to the persistent state: a SaveVote, SaveEntries or SaveSnapshot.
 	Write interface {
 		isWrite()
@@ -211,6 +216,7 @@
 func (ProposeConfig) isInput() {}
 func (ReadIndex) isInput()     {}
 func (Compact) isInput()       {}
+func (Leave) isInput()         {}
 
 func (SaveVote) isWrite()     {}
 func (SaveEntries) isWrite()  {}
--- a/pkg/replicator/replication.go
+++ b/pkg/replicator/replication.go
@@ -157,7 +157,7 @@
 }
 
 func (c *Core) replyAppend(m Message, match uint64, rejected bool) {
-	c.send(Message{Kind: MessageAppendReply, To: m.From, Match: match, Rejected: rejected, Round: m.Round})
+	c.send(Message{Kind: MessageAppendReply, To: m.From, Match: match, Rejected: rejected, Round: m.Round, Leaving: c.isLeaving})
 }
 
 func (c *Core) onAppendReply(m Message) {
@@ -167,6 +167,7 @@
 	}
 	p.lastContactAt = c.now
 	p.ackedRound = max(p.ackedRound, m.Round)
+	p.isLeaving = m.Leaving
 	if m.Rejected {
 		c.retransmit(p, m)
 	} else if m.Match > p.matchIndex {
--- a/pkg/steward/control.go
+++ b/pkg/steward/control.go
@@ -128,6 +128,10 @@
 // RestartRequired returns a channel that receives an error when the process must be restarted.
 func (c *Control) RestartRequired() <-chan error { return c.restartRequired }
 
+// Leave gives up the vote of this instance in the replicated log if the other instances suffice without it. It waits for the timeout at
+// most.
+func (c *Control) Leave(timeout time.Duration) { c.server.Leave(timeout) }
+
 // Shutdown answers the calls of other instances in progress and stops the instance.
 func (c *Control) Shutdown() {
 	c.rpcServer.Drain(maxReplyTime)
--- a/pkg/steward/run.go
+++ b/pkg/steward/run.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"lovagedeck/pkg/acceptor"
@@ -84,7 +85,11 @@
 	select {
 	case <-ctx.Done():
 		log.Info("steward: shutting down", "grace-ms", settings.GracePeriod.Milliseconds())
-		finishCalls(operators, operatorStopTime(settings.GracePeriod), log)
+		var leaving conc.WaitGroup
+		stopTime := operatorStopTime(settings.GracePeriod)
+		leaving.Go(func() { control.Leave(stopTime) })
+		finishCalls(operators, stopTime, log)
+		leaving.Wait()
 		control.Shutdown()
 		log.Info("steward: control instance ended")
 		return nil
@@ -121,7 +126,7 @@
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EIO)
 }
 
-// operatorStopTime returns how long a control instance that stops waits for the operators' calls in progress.
+// operatorStopTime returns how long a control instance that stops waits for the operators' calls in progress and for the loss of its vote.
 func operatorStopTime(gracePeriod time.Duration) time.Duration {
 	return min(maxOperatorStopTime, time.Duration(operatorStopShare*float64(gracePeriod)))
 }
