Entry instances go back to the seeds of the last reload

An entry instance that loses all control instances it knows adds the seeds again, but those of its start. When these have been replaced, and a reload named others, it stays on its last table: changes of the operators do not reach it.

Cause: Reload added the new seeds to the addresses in use. The next renewal dropped them, since only voters are kept, and the settings that are read after a loss were those of the start.

Change: the settings of the last reload are kept, as at control instances.

--- a/pkg/steward/entry.go
+++ b/pkg/steward/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -66,6 +67,8 @@
 		startedAt     time.Time
 		pauseWatcher  *watcher.Watcher
 		stop          chan struct{}
+		// latestSettings holds the settings of the last reload. Only their seeds are used.
+		latestSettings atomic.Pointer[Settings]
 	}
 
 	// stopTimes are the times of a planned stop, since its beginning.
@@ -84,6 +87,7 @@
 // NewEntry starts an entry instance, which runs until Shutdown. It returns an error if one of its addresses is not available.
 func NewEntry(settings Settings, headers gatekeeper.Headers, decode DecodeFunc, listLeafs ListFunc, clients *custodian.Custodian, log logr.Logger) (*Entry, error) {
 	e := &Entry{settings: settings, log: log, listLeafs: listLeafs, startedAt: time.Now(), pauseWatcher: watcher.New(0, time.Now().Round(0)), stop: make(chan struct{})}
+	e.latestSettings.Store(&settings)
 	seed := uint64(time.Now().UnixNano())
 	secret := linker.NewSecret(settings.Cluster, nil)
 	var err error
@@ -159,6 +163,7 @@
 
 // Reload adds the seeds of changed settings. Other settings take effect after a restart.
 func (e *Entry) Reload(settings Settings) {
+	e.latestSettings.Store(&settings)
 	e.controlClient.AddAddresses(settings.seedAddresses())
 	e.log.Info("steward: settings reloaded", "seeds", settings.seedAddresses())
 }
@@ -251,7 +256,7 @@
 		return
 	}
 	e.log.Info("steward: control instances lost; serving on with the last table", "revision", e.controlClient.View().Revision())
-	e.controlClient.AddAddresses(e.settings.seedAddresses())
+	e.controlClient.AddAddresses(e.latestSettings.Load().seedAddresses())
 }
 
 // fallbackListLoop fetches the list of leafs when the list from the control instances is too old, because no control instance
