Joining control instances seek the leader with all replies

Cause: an instance that announces itself kept what the last reply of a round named. One seed that knows only former members and always answers last hid the leader that another one had named, so that the leader might not be asked.

Change: the known instances are those that any reply of the round names.

--- a/pkg/controller/membership.go
+++ b/pkg/controller/membership.go
@@ -143,6 +143,7 @@
 	})
 	query := AnnounceQuery{Node: s.config.Node}
 	var group conc.WaitGroup
+	replies := make(chan AnnounceReply, len(targets))
 	for _, address := range targets {
 		if peers[address] == nil {
 			peers[address] = newPeer(s.config.Linker, address)
@@ -150,13 +151,16 @@
 		p := peers[address]
 		group.Go(func() {
 			var reply AnnounceReply
-			if err := p.call("Announce", query, &reply, announceTimeout); err != nil {
-				return
+			if err := p.call("Announce", query, &reply, announceTimeout); err == nil {
+				replies <- reply
 			}
-			_ = s.enqueue(func() { s.membership.setKnownInstances(reply) })
 		})
 	}
 	group.Wait()
+	close(replies)
+	if len(replies) > 0 {
+		_ = s.enqueue(func() { s.membership.setKnownInstances(replies) })
+	}
 }
 
 func (s *Server) shouldAnnounce() bool {
@@ -187,13 +191,17 @@
 	return targets
 }
 
-func (m *membership) setKnownInstances(reply AnnounceReply) {
+// setKnownInstances replaces the known instances by those named in any of the replies. One reply alone may come from an instance that
+// knows only former members.
+func (m *membership) setKnownInstances(replies <-chan AnnounceReply) {
 	m.knownInstances = map[string]bool{}
-	for _, instance := range reply.Members {
-		m.knownInstances[instance] = true
-	}
-	if reply.Leader != "" {
-		m.knownInstances[reply.Leader] = true
+	for reply := range replies {
+		for _, instance := range reply.Members {
+			m.knownInstances[instance] = true
+		}
+		if reply.Leader != "" {
+			m.knownInstances[reply.Leader] = true
+		}
 	}
 }
 
