Specify the order of member changes

log.pml replaces a lost member in one step, so that no run covered what is in force between two changes, before a change is committed, or after planned replacements.

members.pml has the changes one by one: three machines of which one may be lost, replacements with and without notice, pauses, lost disks, also of a successor. While one machine is lost at most, a quorum responds, and no quorum lacks what was acknowledged.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -70,3 +70,9 @@
 expect_violation lease.pml -DEARLY_IN_FORCE
 expect_violation lease.pml -DNO_FENCE
 expect_violation lease.pml -DSHORT_FENCE
+expect_pass members.pml -DREPLACEMENTS=2
+expect_pass members.pml -DREPLACEMENTS=3
+expect_violation members.pml -DREPLACEMENTS=2 -DPARITY
+expect_violation members.pml -DREPLACEMENTS=2 -DPROMOTE_FIRST
+expect_violation members.pml -DREPLACEMENTS=2 -DNO_LEAVE
+expect_violation members.pml -DREPLACEMENTS=2 -DNO_COMMIT
