--- a/pkg/experimenter/tier.go
+++ b/pkg/experimenter/tier.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,8 @@
 	lowestPort   = 12_000
 	portCount    = 18_000
 	portAttempts = 1000
+	// startAttempts is how often the instances of a tier are started at other addresses when another process has taken one.
+	startAttempts = 5
 )
 
 type (
@@ -45,23 +48,39 @@
 
 	// Tier is a set of instances that run in one process and share an emulated network.
 	Tier struct {
-		spec        TierSpec
-		folder      string
-		network     *emulator.Network
-		settings    []configurer.Settings
-		mu          sync.Mutex
-		instances   []*runner.Instance
-		changeCount int
+		spec TierSpec
+		// drawAddresses returns free addresses.
+		drawAddresses func(count int) ([]string, error)
+		folder        string
+		network       *emulator.Network
+		settings      []configurer.Settings
+		mu            sync.Mutex
+		instances     []*runner.Instance
+		changeCount   int
 	}
 )
 
 // NewTier starts the instances of spec and waits until all are ready; Close stops them and removes their files.
-func NewTier(spec TierSpec) (*Tier, error) {
+func NewTier(spec TierSpec) (*Tier, error) { return newTier(spec, freeAddresses) }
+
+func newTier(spec TierSpec, drawAddresses func(count int) ([]string, error)) (*Tier, error) {
+	for attempt := 1; ; attempt++ {
+		t, err := startTier(spec, drawAddresses)
+		if attempt == startAttempts || !errors.Is(err, syscall.EADDRINUSE) {
+			return t, err
+		}
+	}
+}
+
+func startTier(spec TierSpec, drawAddresses func(count int) ([]string, error)) (*Tier, error) {
 	folder, err := os.MkdirTemp("", "lovagedeck-")
 	if err != nil {
 		return nil, errors.Wrap(err, "start tier")
 	}
-	t := &Tier{spec: spec, folder: folder, network: emulator.NewNetwork(spec.OneWayDelay), instances: make([]*runner.Instance, spec.Instances)}
+	t := &Tier{
+		spec: spec, drawAddresses: drawAddresses, folder: folder, network: emulator.NewNetwork(spec.OneWayDelay),
+		instances: make([]*runner.Instance, spec.Instances),
+	}
 	if err := t.prepareSettings(); err != nil {
 		t.Close()
 		return nil, err
@@ -271,7 +290,7 @@
 }
 
 func (t *Tier) newSettings(i int, keyFile string) (configurer.Settings, error) {
-	addresses, err := freeAddresses(3)
+	addresses, err := t.drawAddresses(3)
 	if err != nil {
 		return configurer.Settings{}, err
 	}
