A stopping leader waits until its demotion is committed

What callers saw: nothing yet.

Cause: Server.Leave returned as soon as the newest configuration in its own log had no vote for the instance. A leader has that the moment it appends the change, before any other instance has it. It stopped, the others still counted six voters, and with two disks lost three of six were left.

Change: Leave waits until the configuration is committed, so that a majority of the new voters holds it.

--- a/pkg/controller/membership.go
+++ b/pkg/controller/membership.go
@@ -93,24 +93,28 @@
 	return len(s.core.Config().Voters) >= m.discovery.ExpectedVoters || s.config.Now()-m.leaderSince > votersTimeout
 }
 
-// Leave tells the leader that this instance is about to stop, and waits until it has no vote or keeps it because the others do not
-// suffice, for the timeout at most. An instance that starts again with its disk gets its vote back.
+// Leave tells the leader that this instance is about to stop, and waits until a majority knows that it has no vote, or until it keeps its
+// vote because the others do not suffice, for the timeout at most. An instance that starts again with its disk gets its vote back.
 func (s *Server) Leave(timeout time.Duration) {
 	if s.config.Discovery == nil || s.enqueue(func() { s.step(replicator.Leave{}) }) != nil {
 		return
 	}
 	for deadline := s.config.Now() + timeout; s.config.Now() < deadline; time.Sleep(tickInterval) {
-		canLoseVote, err := await(s, func(answer func(bool)) { answer(s.failed == nil && s.canLoseVote()) })
-		if err != nil || !canLoseVote {
+		isLosingVote, err := await(s, func(answer func(bool)) { answer(s.failed == nil && s.isLosingVote()) })
+		if err != nil || !isLosingVote {
 			return
 		}
 	}
 }
 
-// canLoseVote reports whether this instance is a voter that the leader can spare or replace, as far as this instance knows.
-func (s *Server) canLoseVote() bool {
+// isLosingVote reports whether this instance is a voter that the leader can spare or replace, as far as this instance knows, or its
+// demotion is not committed yet.
+func (s *Server) isLosingVote() bool {
 	config := s.core.Config()
-	return config.HasVoter(s.config.Node) && (len(config.Learners) > 0 || len(config.Voters) > s.config.Discovery.ExpectedVoters)
+	if !config.HasVoter(s.config.Node) {
+		return !s.core.IsConfigCommitted()
+	}
+	return len(config.Learners) > 0 || len(config.Voters) > s.config.Discovery.ExpectedVoters
 }
 
 // announceLoop sends join requests while this instance is not a member of the log or has lost contact with the leader.
@@ -165,7 +169,7 @@
 
 func (s *Server) shouldAnnounce() bool {
 	if s.failed != nil || s.isLeader() {
-		return false
+		return !s.core.IsConfigCommitted()
 	}
 	return !s.core.IsMember() || s.config.Now()-s.core.LastLeaderContact() > leaderLossTimeout
 }
--- a/pkg/replicator/core.go
+++ b/pkg/replicator/core.go
@@ -161,6 +161,9 @@
 // Config returns the newest config in the log of this node, committed or not.
 func (c *Core) Config() Config { return c.log.config }
 
+// IsConfigCommitted reports whether the newest config in the log of this node is known to be committed.
+func (c *Core) IsConfigCommitted() bool { return c.commit >= c.log.configIndex }
+
 // LastLeaderContact returns the monotonic time of the last append or snapshot from a leader. Before the first one, it is
 // ElectionTimeout before the start.
 func (c *Core) LastLeaderContact() time.Duration { return c.leaderContactAt }
@@ -339,7 +342,7 @@
 }
 
 func (c *Core) stepDownIfRemoved() {
-	if c.commit >= c.log.configIndex && !c.log.config.HasVoter(c.id) {
+	if c.IsConfigCommitted() && !c.log.config.HasVoter(c.id) {
 		c.becomeFollower(c.term, "")
 	}
 }
--- a/pkg/replicator/replication.go
+++ b/pkg/replicator/replication.go
@@ -31,7 +31,7 @@
 		return "not the leader"
 	case !c.IsEstablishedLeader():
 		return "the leader has not committed an entry of its term yet"
-	case c.commit < c.log.configIndex:
+	case !c.IsConfigCommitted():
 		return "an earlier change of the members is not committed yet"
 	case len(config.Voters) == 0:
 		return "the change leaves no voter"
